--- /dev/null
+++ b/core/src/clock/mod.rs
@@ -0,0 +1,5 @@
+//! Points in time, always passed in.
+
+mod time;
+
+pub use time::*;
--- /dev/null
+++ b/core/src/error/answer.rs
@@ -0,0 +1,87 @@
+use {
+    super::ErrorKind,
+    serde::{Deserialize, Serialize},
+    std::{fmt, time::Duration},
+};
+
+/// What is known of the run of a request that is answered with an error.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// A target ran it.
+    Ran,
+    /// No target ran it or will run it.
+    NotRun,
+    /// A target may have run it.
+    Unknown,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        })
+    }
+}
+
+/// The answer that an error kind gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Code in the answer's body.
+    pub code: &'static str,
+    /// What the `lentil-outcome` header says.
+    pub outcome: Outcome,
+    /// What the `Retry-After` header says at least.
+    pub retry: Option<Duration>,
+}
+
+const SOON: Option<Duration> = Some(Duration::from_secs(1));
+const LATER: Option<Duration> = Some(Duration::from_secs(5));
+
+impl ErrorKind {
+    /// The table from kind to answer.
+    ///
+    /// ```
+    /// use lentil_core::error::{ErrorKind, Outcome};
+    ///
+    /// let answer = ErrorKind::NoCapacity.answer();
+    /// assert_eq!((answer.status, answer.outcome), (503, Outcome::NotRun));
+    /// assert!(answer.retry.is_some());
+    /// ```
+    pub fn answer(self) -> Answer {
+        use Outcome::{NotRun, Unknown};
+        let (status, code, outcome, retry) = match self {
+            Self::BadRequest => (400, "bad-request", NotRun, None),
+            Self::NoCaller => (401, "no-caller", NotRun, None),
+            Self::Forbidden => (403, "forbidden", NotRun, None),
+            Self::UnknownModel => (404, "unknown-model", NotRun, None),
+            Self::UnknownService => (404, "unknown-service", NotRun, None),
+            Self::NoRoute => (404, "no-route", NotRun, None),
+            Self::TooLarge => (413, "too-large", NotRun, None),
+            Self::KeyReused => (422, "key-reused", NotRun, None),
+            // The first send runs or ran; only this resend was not run.
+            Self::StillRunning => (409, "still-running", Unknown, SOON),
+            Self::OverShare => (429, "over-share", NotRun, SOON),
+            Self::NoCapacity => (503, "no-capacity", NotRun, SOON),
+            Self::Stopping => (503, "stopping", NotRun, SOON),
+            Self::NotReady => (503, "not-ready", NotRun, SOON),
+            Self::NoTarget => (503, "no-target", NotRun, SOON),
+            Self::NoClaims => (503, "no-claims", NotRun, LATER),
+            Self::Quarantined => (422, "quarantined", NotRun, None),
+            Self::StreamGone => (410, "stream-gone", Unknown, None),
+            Self::TargetLost => (502, "target-lost", Unknown, None),
+            Self::TargetTimeout => (504, "target-timeout", Unknown, None),
+            Self::BadAnswer => (502, "bad-answer", Unknown, None),
+        };
+        Answer {
+            status,
+            code,
+            outcome,
+            retry,
+        }
+    }
+}
--- /dev/null
+++ b/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
