--- /dev/null
+++ b/core/src/claim/tests.rs
@@ -0,0 +1,115 @@
+use {
+    super::*,
+    crate::{
+        ids::{Fingerprint, Incarnation, Millis},
+        order::Holder,
+    },
+};
+
+fn holder(name: &str) -> Holder {
+    Holder {
+        instance: name.parse().unwrap(),
+        start: Incarnation(1),
+    }
+}
+
+fn key(text: &str) -> ClaimKey {
+    ClaimKey::new(&"c".parse().unwrap(), "s", text)
+}
+
+fn ask(by: &str, body: u64) -> Edit {
+    Edit::Claim {
+        body: Fingerprint(body),
+        by: holder(by),
+    }
+}
+
+fn ended() -> ClaimStage {
+    ClaimStage::Answered(StoredAnswer {
+        status: 200,
+        kind: None,
+        body: Some("ok".into()),
+    })
+}
+
+#[test]
+fn apply_grants_a_key_once() {
+    let mut bucket = Bucket::empty("w".parse().unwrap());
+    let k = key("1");
+    assert_eq!(bucket.apply(k, &ask("a", 1), Millis(0)), Verdict::Granted);
+    assert_eq!(
+        bucket.apply(k, &ask("b", 1), Millis(1)),
+        Verdict::Taken(holder("a"))
+    );
+    assert_eq!(
+        bucket.apply(k, &ask("a", 1), Millis(1)),
+        Verdict::Taken(holder("a"))
+    );
+    assert_eq!(bucket.apply(k, &ask("b", 2), Millis(1)), Verdict::KeyReused);
+    let end = Edit::End {
+        by: holder("a"),
+        stage: ended(),
+    };
+    bucket.apply(k, &end, Millis(2));
+    assert!(matches!(
+        bucket.apply(k, &ask("b", 1), Millis(3)),
+        Verdict::Answered(_)
+    ));
+}
+
+#[test]
+fn apply_lets_only_the_holder_end_or_release() {
+    let mut bucket = Bucket::empty("w".parse().unwrap());
+    let k = key("1");
+    bucket.apply(k, &ask("a", 1), Millis(0));
+    bucket.apply(k, &Edit::Release { by: holder("b") }, Millis(1));
+    bucket.apply(
+        k,
+        &Edit::End {
+            by: holder("b"),
+            stage: ended(),
+        },
+        Millis(1),
+    );
+    assert_eq!(bucket.claims[&k].stage, ClaimStage::Claimed);
+    bucket.apply(k, &Edit::Release { by: holder("a") }, Millis(1));
+    assert!(bucket.claims.is_empty());
+}
+
+#[test]
+fn prune_keeps_open_claims() {
+    let mut bucket = Bucket::empty("w".parse().unwrap());
+    bucket.apply(key("open"), &ask("a", 1), Millis(0));
+    bucket.apply(key("done"), &ask("a", 1), Millis(0));
+    bucket.apply(
+        key("done"),
+        &Edit::End {
+            by: holder("a"),
+            stage: ended(),
+        },
+        Millis(0),
+    );
+    bucket.prune(Millis(5_000), Millis(1_000));
+    assert_eq!(bucket.claims.keys().collect::<Vec<_>>(), [&key("open")]);
+}
+
+#[test]
+fn bucket_of_the_largest_answers_fits_a_store_value() {
+    let mut bucket = Bucket::empty("w".parse().unwrap());
+    for i in 0..=MAX_CLAIMS {
+        let k = key(&i.to_string());
+        let verdict = bucket.apply(k, &ask("a", 1), Millis(0));
+        assert_eq!(verdict == Verdict::Full, i == MAX_CLAIMS);
+        let answer = StoredAnswer {
+            status: 200,
+            kind: Some("application/json".into()),
+            body: Some("x".repeat(MAX_BODY)),
+        };
+        let end = Edit::End {
+            by: holder("a"),
+            stage: ClaimStage::Answered(answer),
+        };
+        bucket.apply(k, &end, Millis(0));
+    }
+    assert!(serde_json::to_vec(&bucket).unwrap().len() < 1_000_000);
+}
--- /dev/null
+++ b/core/src/fleet/engine.rs
@@ -0,0 +1,82 @@
+use {
+    super::LoadView,
+    crate::{
+        clock::Time,
+        ids::{AdapterId, EngineId, Incarnation, ModelId, Region, Zone},
+        limit::Breaker,
+        manifest::{EngineRates, EngineSpec, Role},
+    },
+    smallvec::SmallVec,
+    std::net::SocketAddr,
+};
+
+/// Share of a decoding engine's time that prefill may take; with more, tokens come too far apart.
+pub const MIX: f64 = 0.3;
+
+/// What one instance knows of one engine.
+#[derive(Debug, Clone)]
+pub struct EngineView {
+    /// Its name.
+    pub id: EngineId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: Region,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The model that it serves.
+    pub model: ModelId,
+    /// What it can do.
+    pub rates: EngineRates,
+    /// Its role as last heard.
+    pub role: Role,
+    /// Its incarnation as last heard.
+    pub boot: Incarnation,
+    /// Adapters that it holds.
+    pub adapters: SmallVec<[AdapterId; 4]>,
+    /// Its load.
+    pub load: LoadView,
+    /// Keeps requests away while it fails.
+    pub breaker: Breaker,
+    /// It is leaving the fleet: no new work.
+    pub leaving: bool,
+    /// It carries out an order or is about to get one: no new work.
+    pub changing: bool,
+    /// It runs a suspect alone: no new work.
+    pub isolated: bool,
+}
+
+impl EngineView {
+    /// A view of an engine of which nothing was heard yet.
+    pub fn new(id: EngineId, spec: &EngineSpec) -> Self {
+        Self {
+            id,
+            address: spec.address,
+            region: spec.region.clone(),
+            zone: spec.zone.clone(),
+            model: spec.model.clone(),
+            rates: spec.rates,
+            role: Role::default(),
+            boot: Incarnation(0),
+            adapters: SmallVec::new(),
+            load: LoadView::default(),
+            breaker: Breaker::default(),
+            leaving: false,
+            changing: false,
+            isolated: false,
+        }
+    }
+
+    /// Whether new work may go to it.
+    pub fn open(&self, now: Time) -> bool {
+        !self.leaving && !self.changing && !self.isolated && self.breaker.allows(now)
+    }
+
+    /// Prompt tokens per second that it prefills in its role.
+    pub fn prefill_rate(&self) -> f64 {
+        match self.role {
+            Role::Prefill => self.rates.prefill.0,
+            Role::Decode => self.rates.prefill.0 * MIX,
+        }
+    }
+}
--- /dev/null
+++ b/core/src/fleet/load.rs
@@ -0,0 +1,83 @@
+use {
+    crate::{clock::Time, ids::Tokens},
+    serde::{Deserialize, Serialize},
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Time after which a send without a report that covers it is forgotten.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// Load of an engine at one time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Prompt tokens that wait for prefill.
+    pub queued: Tokens,
+    /// Requests that decode.
+    pub running: u32,
+    /// Requests that wait for a decode slot.
+    pub waiting: u32,
+}
+
+impl Load {
+    /// Whether the engine has nothing to do.
+    pub fn idle(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Send {
+    at: Time,
+    prompt: Tokens,
+    decode: bool,
+}
+
+/// The latest report of an engine's load, corrected by what was sent since.
+#[derive(Debug, Clone, Default)]
+pub struct LoadView {
+    report: Load,
+    taken: Time,
+    sends: VecDeque<Send>,
+}
+
+impl LoadView {
+    /// Takes in a report of the load at `taken`; older ones than the latest are ignored.
+    pub fn reported(&mut self, report: Load, taken: Time) {
+        if taken < self.taken {
+            return;
+        }
+        self.report = report;
+        self.taken = taken;
+        self.sends.retain(|s| s.at > taken);
+    }
+
+    /// Notes work sent at `now`: a prompt to prefill and perhaps a request to decode.
+    pub fn sent(&mut self, prompt: Tokens, decode: bool, now: Time) {
+        self.sends.push_back(Send {
+            at: now,
+            prompt,
+            decode,
+        });
+        while self.sends.front().is_some_and(|s| now - s.at > FORGET) {
+            self.sends.pop_front();
+        }
+    }
+
+    /// The load expected now, if the engine prefills `rate` tokens per second.
+    pub fn expected(&self, rate: f64, now: Time) -> Load {
+        let mut load = self.report;
+        for send in &self.sends {
+            load.queued += send.prompt;
+            load.running += u32::from(send.decode);
+        }
+        let since = (now - self.taken).min(FORGET).as_secs_f64();
+        let done = Tokens((rate * since) as u64);
+        load.queued = load.queued - done;
+        load
+    }
+
+    /// When the latest report was taken.
+    pub fn taken(&self) -> Time {
+        self.taken
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -3,8 +3,17 @@
 //! Nothing here does I/O or reads a clock: every function that decides takes the present time as
 //! an argument, so that the daemon, the experiments and the model checker run the same code.
 
+pub mod admit;
+pub mod claim;
 pub mod clock;
 pub mod error;
+pub mod fleet;
 pub mod ids;
+pub mod limit;
 pub mod manifest;
+pub mod order;
+pub mod plan;
+pub mod poison;
+pub mod route;
 pub mod settings;
+pub mod stream;
--- /dev/null
+++ b/core/src/plan/planner.rs
@@ -0,0 +1,116 @@
+use {
+    super::{best, loss, Demand, Split},
+    crate::{
+        clock::Time,
+        manifest::{ChangeWeight, EngineRates, Role},
+    },
+    std::time::Duration,
+};
+
+/// Longest time for which a loss is expected to go on.
+const HORIZON: f64 = 60.0; // seconds
+/// Engines that may be away at once, as a part of all.
+const AWAY: f64 = 0.2;
+/// Time after which regret that has ended is forgotten.
+const FADE: f64 = 20.0; // seconds
+
+/// What a role change takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChangeCost {
+    /// Time from the order to the drain's end, during which no new work comes.
+    pub drain: Duration,
+    /// Time that the engine is away.
+    pub away: Duration,
+}
+
+impl Default for ChangeCost {
+    fn default() -> Self {
+        Self {
+            drain: Duration::from_secs(4),
+            away: Duration::from_secs(4),
+        }
+    }
+}
+
+/// What the planner decides on.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation<'a> {
+    /// Work that arrives.
+    pub demand: Demand,
+    /// What each engine can do.
+    pub rates: &'a EngineRates,
+    /// Engines in service, by the role that they have or are changing to.
+    pub split: Split,
+    /// Engines that are away now.
+    pub away: usize,
+}
+
+/// Follows the mix of one model's work by single role changes.
+///
+/// It sums up the regret: the work lost for not being in the best split. A change is made once
+/// the regret so far, and as much again as is expected, outweighs what a change costs. Losses that
+/// come and go by chance never sum up to that; a great shift does within seconds.
+#[derive(Debug, Clone)]
+pub struct Planner {
+    weight: ChangeWeight,
+    cost: ChangeCost,
+    regret: f64,
+    since: Option<Time>,
+    toward: Option<Role>,
+    at: Time,
+}
+
+impl Planner {
+    /// A planner with a deployment's weight of changes.
+    pub fn new(weight: ChangeWeight, cost: ChangeCost, now: Time) -> Self {
+        Self {
+            weight,
+            cost,
+            regret: 0.0,
+            since: None,
+            toward: None,
+            at: now,
+        }
+    }
+
+    /// Sets the weight of changes.
+    pub fn set_weight(&mut self, weight: ChangeWeight) {
+        self.weight = weight;
+    }
+
+    /// The role that one engine should change to now, if any. Call it at regular times.
+    pub fn decide(&mut self, s: &Situation, now: Time) -> Option<Role> {
+        let passed = (now - self.at).as_secs_f64();
+        self.at = now;
+        let goal = best(s.demand, s.rates, s.split);
+        let toward = match goal.prefill.cmp(&s.split.prefill) {
+            std::cmp::Ordering::Greater => Some(Role::Prefill),
+            std::cmp::Ordering::Less => Some(Role::Decode),
+            std::cmp::Ordering::Equal => None,
+        };
+        if toward != self.toward || toward.is_none() {
+            self.regret *= (-passed / FADE).exp();
+            if toward.is_some() && toward != self.toward {
+                self.regret = 0.0;
+                self.since = Some(now);
+                self.toward = toward;
+            }
+            return None;
+        }
+        let toward = toward?;
+        let gain = (loss(s.demand, s.rates, s.split) - loss(s.demand, s.rates, goal)).max(0.0);
+        let steps = goal.prefill.abs_diff(s.split.prefill).max(1) as f64;
+        let gain = gain / steps;
+        self.regret += gain * passed;
+        // What has lasted a while is expected to last as long again.
+        let lasted = self.since.map_or(0.0, |t| (now - t).as_secs_f64());
+        let ahead = gain * lasted.min(HORIZON);
+        let cost = (self.cost.drain + self.cost.away).as_secs_f64() * 0.5 + self.weight.0;
+        let room = ((s.split.total() as f64 * AWAY).floor() as usize).max(1);
+        if self.regret + ahead < cost || s.away >= room {
+            return None;
+        }
+        self.regret = 0.0;
+        Some(toward)
+    }
+}
--- /dev/null
+++ b/core/src/poison/mod.rs
@@ -0,0 +1,9 @@
+//! Requests that crash the targets that run them.
+
+mod fingerprint;
+mod quarantine;
+
+pub use quarantine::*;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/core/src/route/choose.rs
@@ -0,0 +1,110 @@
+use {
+    super::{cost, Cost, Pick, Place, Work, MOVE, MOVE_BASE},
+    crate::{
+        clock::Time,
+        error::{ErrorKind, Fault},
+        fleet::{CacheIndex, EngineView},
+        manifest::Role,
+    },
+    std::time::Duration,
+};
+
+/// Share of its seconds on a decoding engine that a mixed-in prompt costs the others there.
+const DISTURB: f64 = 0.5;
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    index: usize,
+    cost: Cost,
+}
+
+/// Chooses the engines for `work`, where `engines` is the table that the pick's indices refer to.
+///
+/// A prompt is prefilled where it is soonest done: beside the decoding, or on a prefilling engine
+/// whose KV cache then moves. Blocks that an engine holds already shorten its cost, and its queue
+/// lengthens it, so that a popular prefix spreads as soon as its holder is busy.
+///
+/// # Errors
+/// [`ErrorKind::NoTarget`] if no engine is open for the work.
+pub fn choose(
+    engines: &[EngineView],
+    cache: &CacheIndex,
+    work: &Work,
+    place: &Place,
+    now: Time,
+) -> Result<Pick, Fault> {
+    let mut prefill: Option<Candidate> = None;
+    let mut decode: Option<Candidate> = None;
+    let mut direct: Option<Candidate> = None;
+    for (index, engine) in engines.iter().enumerate() {
+        if !fits(engine, work, now) {
+            continue;
+        }
+        let cost = cost(engine, cache, work, place, now);
+        let found = Candidate { index, cost };
+        match engine.role {
+            Role::Prefill => keep(&mut prefill, found, |c| c.prefill + c.way),
+            Role::Decode => {
+                keep(&mut decode, found, |c| c.slot + c.way + c.between);
+                keep(&mut direct, found, |c| c.prefill.max(c.slot) + c.way);
+            }
+        }
+    }
+    let whole = direct.map(|d| mixed(d, work));
+    let split = prefill.zip(decode).map(|(p, d)| split(p, d, work));
+    match (whole, split) {
+        (Some((a, x)), Some((b, y))) => Ok(if x <= y { a } else { b }),
+        (Some((pick, _)), None) | (None, Some((pick, _))) => Ok(pick),
+        (None, None) => {
+            let text = format!("no engine is open for model {:?}", work.model.as_str());
+            Err(Fault::new(ErrorKind::NoTarget, text))
+        }
+    }
+}
+
+fn fits(engine: &EngineView, work: &Work, now: Time) -> bool {
+    let loaded = work
+        .adapter
+        .as_ref()
+        .is_none_or(|a| engine.adapters.contains(a));
+    let alone = !work.alone || engine.load.expected(0.0, now).idle();
+    engine.model == work.model && loaded && alone && engine.open(now)
+}
+
+fn keep(best: &mut Option<Candidate>, found: Candidate, score: impl Fn(&Cost) -> f64) {
+    if best.is_none_or(|b| score(&found.cost) < score(&b.cost)) {
+        *best = Some(found);
+    }
+}
+
+/// The whole request on one decoding engine, with its score.
+fn mixed(d: Candidate, work: &Work) -> (Pick, f64) {
+    let first = d.cost.prefill.max(d.cost.slot) + d.cost.way + d.cost.between;
+    let score = first + DISTURB * d.cost.prefill;
+    (pick(d, None, first, d.cost.hit, work), score)
+}
+
+/// Prefill on one engine, decode on another, with its score.
+fn split(p: Candidate, d: Candidate, work: &Work) -> (Pick, f64) {
+    let moved = MOVE_BASE + work.prompt.0 as f64 * MOVE;
+    let ready = p.cost.prefill + p.cost.way + moved;
+    let first = ready.max(d.cost.slot) + d.cost.way + d.cost.between;
+    (pick(d, Some(p.index), first, p.cost.hit, work), first)
+}
+
+fn pick(
+    d: Candidate,
+    prefill: Option<usize>,
+    first: f64,
+    hit: crate::ids::Tokens,
+    work: &Work,
+) -> Pick {
+    let end = first + work.output.0 as f64 * d.cost.between;
+    Pick {
+        decode: d.index,
+        prefill,
+        first: Duration::from_secs_f64(first),
+        end: Duration::from_secs_f64(end),
+        hit,
+    }
+}
--- /dev/null
+++ b/core/src/route/cost.rs
@@ -0,0 +1,74 @@
+use {
+    super::{Place, Work},
+    crate::{
+        clock::Time,
+        fleet::{CacheIndex, EngineView, Load, BLOCK_TOKENS},
+        ids::Tokens,
+        manifest::Role,
+    },
+};
+
+/// Seconds for which a token's KV cache is on its way between engines.
+pub const MOVE: f64 = 5e-6;
+/// Seconds that any move between engines takes.
+pub const MOVE_BASE: f64 = 0.01;
+const OTHER_ZONE: f64 = 0.002; // seconds
+const OTHER_REGION: f64 = 0.25; // seconds
+
+/// What one engine would cost a request, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Cost {
+    /// Until the prompt is prefilled.
+    pub prefill: f64,
+    /// Until a decode slot is free.
+    pub slot: f64,
+    /// Between the tokens, with the load that is there now.
+    pub between: f64,
+    /// Way to the engine.
+    pub way: f64,
+    /// Prompt tokens that it holds already.
+    pub hit: Tokens,
+}
+
+/// Estimates what `engine` would cost `work` at `now`.
+pub fn cost(
+    engine: &EngineView,
+    cache: &CacheIndex,
+    work: &Work,
+    place: &Place,
+    now: Time,
+) -> Cost {
+    let rate = engine.prefill_rate();
+    let load = engine.load.expected(rate, now);
+    let hit = cache.hit(&engine.id, &work.blocks) * BLOCK_TOKENS.0 as f64;
+    let hit = Tokens((hit as u64).min(work.prompt.0));
+    let todo = (load.queued + work.prompt - hit).0 as f64;
+    let way = match () {
+        () if engine.region != place.region => OTHER_REGION,
+        () if engine.zone != place.zone => OTHER_ZONE,
+        () => 0.0,
+    };
+    Cost {
+        prefill: todo / rate,
+        slot: slot_wait(engine, &load, work),
+        between: between(engine, &load),
+        way,
+        hit,
+    }
+}
+
+/// Seconds until a slot is free: one is freed each time a whole output is decoded.
+fn slot_wait(engine: &EngineView, load: &Load, work: &Work) -> f64 {
+    let used = load.running + load.waiting;
+    let over = (used + 1).saturating_sub(engine.rates.slots);
+    f64::from(over) * work.output.0 as f64 / engine.rates.decode.0
+}
+
+/// Seconds between tokens, longer while prefill is mixed in.
+fn between(engine: &EngineView, load: &Load) -> f64 {
+    let alone = f64::from(engine.rates.slots) / engine.rates.decode.0;
+    match engine.role {
+        Role::Decode if load.queued.0 > 0 => alone / (1.0 - crate::fleet::MIX),
+        _ => alone,
+    }
+}
--- /dev/null
+++ b/core/src/route/tests.rs
@@ -0,0 +1,163 @@
+use {
+    super::*,
+    crate::{
+        clock::Time,
+        error::ErrorKind,
+        fleet::{prefix_blocks, CacheIndex, EngineView, Load, BLOCK},
+        ids::{Millis, TokenRate, Tokens},
+        manifest::{ClassSpec, EngineRates, EngineSpec, Role},
+    },
+};
+
+fn engine(id: &str, role: Role) -> EngineView {
+    let spec = EngineSpec {
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "nl".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        cell: "c".parse().unwrap(),
+        model: "m".parse().unwrap(),
+        fenced: true,
+        rates: EngineRates {
+            prefill: TokenRate(10_000.0),
+            decode: TokenRate(640.0),
+            slots: 32,
+            cache: Tokens(1_000_000),
+        },
+    };
+    EngineView {
+        role,
+        ..EngineView::new(id.parse().unwrap(), &spec)
+    }
+}
+
+fn work(prompt: usize) -> Work {
+    let text = "x".repeat(prompt * 4);
+    Work {
+        model: "m".parse().unwrap(),
+        adapter: None,
+        prompt: Tokens(prompt as u64),
+        output: Tokens(100),
+        blocks: prefix_blocks(&text),
+        class: ClassSpec {
+            first: Millis(480),
+            between: Millis(78),
+            deadline: Millis(20_000),
+            priority: 1,
+        },
+        alone: false,
+    }
+}
+
+fn place() -> Place {
+    Place {
+        region: "nl".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+    }
+}
+
+const NOW: Time = Time::ZERO;
+
+#[test]
+fn choose_splits_long_prompts_and_mixes_short_ones() {
+    let engines = [engine("p", Role::Prefill), engine("d", Role::Decode)];
+    let cache = CacheIndex::default();
+    let long = choose(&engines, &cache, &work(3_000), &place(), NOW).unwrap();
+    assert_eq!((long.prefill, long.decode), (Some(0), 1));
+    let short = choose(&engines, &cache, &work(20), &place(), NOW).unwrap();
+    assert_eq!((short.prefill, short.decode), (None, 1));
+}
+
+#[test]
+fn choose_follows_a_cached_prefix_until_its_holder_is_busy() {
+    let mut engines = [engine("d0", Role::Decode), engine("d1", Role::Decode)];
+    let mut cache = CacheIndex::default();
+    let work = work(10 * BLOCK);
+    cache.sent(&"d1".parse().unwrap(), &work.blocks);
+    assert_eq!(
+        choose(&engines, &cache, &work, &place(), NOW)
+            .unwrap()
+            .decode,
+        1
+    );
+    engines[1].load.reported(
+        Load {
+            queued: Tokens(20_000),
+            ..Load::default()
+        },
+        NOW,
+    );
+    assert_eq!(
+        choose(&engines, &cache, &work, &place(), NOW)
+            .unwrap()
+            .decode,
+        0
+    );
+}
+
+#[test]
+fn choose_passes_over_engines_that_are_not_open() {
+    type Close = fn(&mut EngineView);
+    let cases: [(&str, Close); 5] = [
+        ("leaving", |e| e.leaving = true),
+        ("changing", |e| e.changing = true),
+        ("isolated", |e| e.isolated = true),
+        ("broken", |e| e.breaker.trip(NOW)),
+        ("other model", |e| e.model = "n".parse().unwrap()),
+    ];
+    for (name, close) in cases {
+        let mut engines = [engine("d0", Role::Decode), engine("d1", Role::Decode)];
+        close(&mut engines[0]);
+        let cache = CacheIndex::default();
+        let pick = choose(&engines, &cache, &work(100), &place(), NOW).unwrap();
+        assert_eq!(pick.decode, 1, "{name}");
+        close(&mut engines[1]);
+        let refused = choose(&engines, &cache, &work(100), &place(), NOW).unwrap_err();
+        assert_eq!(refused.kind, ErrorKind::NoTarget, "{name}");
+    }
+}
+
+#[test]
+fn choose_runs_a_suspect_on_an_idle_engine_only() {
+    let mut engines = [engine("d0", Role::Decode), engine("d1", Role::Decode)];
+    engines[0].load.sent(Tokens(10), true, NOW);
+    let alone = Work {
+        alone: true,
+        ..work(10)
+    };
+    let cache = CacheIndex::default();
+    assert_eq!(
+        choose(&engines, &cache, &alone, &place(), NOW)
+            .unwrap()
+            .decode,
+        1
+    );
+    engines[1].load.sent(Tokens(10), true, NOW);
+    assert!(choose(&engines, &cache, &alone, &place(), NOW).is_err());
+}
+
+#[test]
+fn choose_prefers_its_own_zone_and_spills_when_it_is_full() {
+    let mut engines = [engine("far", Role::Decode), engine("near", Role::Decode)];
+    engines[0].zone = "b".parse().unwrap();
+    let cache = CacheIndex::default();
+    assert_eq!(
+        choose(&engines, &cache, &work(100), &place(), NOW)
+            .unwrap()
+            .decode,
+        1
+    );
+    engines[1].load.reported(
+        Load {
+            queued: Tokens(0),
+            running: 40,
+            waiting: 0,
+        },
+        NOW,
+    );
+    assert_eq!(
+        choose(&engines, &cache, &work(100), &place(), NOW)
+            .unwrap()
+            .decode,
+        0
+    );
+}
