--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ids;
 pub mod limit;
 pub mod manifest;
+pub mod mesh;
 pub mod order;
 pub mod plan;
 pub mod poison;
--- /dev/null
+++ b/core/src/mesh/message.rs
@@ -0,0 +1,134 @@
+use {
+    super::{MemberInfo, MemberState},
+    crate::{
+        ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
+        manifest::{Edit, ManifestRecord},
+        order::Holder,
+        plan::Demand,
+        poison::Crash,
+    },
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// A message with who sent it to whom.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Who sent it.
+    pub from: Holder,
+    /// For whom it is; `None` for an instance whose name is not known yet.
+    pub to: Option<InstanceId>,
+    /// Number of the envelope among the sender's.
+    pub number: u64,
+    /// What it says.
+    pub body: Message,
+}
+
+/// What one instance tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// "I live": by datagram, answered by one without `reply`.
+    Beat(Beat),
+    /// Demand seen for the engines of a cell, to its holder.
+    Demand(Vec<DemandNote>),
+    /// Asks for the manifest if it is newer than `have`.
+    Pull {
+        /// Revision that the sender has.
+        have: Revision,
+    },
+    /// Answers a pull.
+    Pulled(Pulled),
+    /// Asks for an acknowledgement that the receiver gives no orders to a cell any more.
+    StepDown {
+        /// The cell.
+        cell: CellId,
+        /// The predecessor that is asked.
+        holder: Holder,
+    },
+    /// The receiver of a step-down gives no orders to the cell and has none on the way.
+    SteppedDown,
+    /// The request can't be answered.
+    Refused,
+}
+
+/// Demand for one model's engines in one cell.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DemandNote {
+    /// The cell.
+    pub cell: CellId,
+    /// The model.
+    pub model: ModelId,
+    /// Work that arrives.
+    pub demand: Demand,
+}
+
+/// A sign of life with news.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// What the sender says of itself.
+    pub me: MemberInfo,
+    /// Whether an answer is wanted.
+    pub reply: bool,
+    /// Revision of the manifest in force at the sender.
+    pub revision: Revision,
+    /// What the sender heard, newest first.
+    pub news: Vec<News>,
+}
+
+/// One thing worth telling everyone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// State of an instance.
+    Member {
+        /// The instance.
+        info: MemberInfo,
+        /// Its state.
+        state: MemberState,
+    },
+    /// A request ran on a target as it crashed.
+    Crashed {
+        /// The request.
+        print: Fingerprint,
+        /// The crash.
+        crash: Crash,
+    },
+    /// An engine is leaving: no new work.
+    Leaving {
+        /// The engine.
+        engine: EngineId,
+        /// Its incarnation.
+        boot: Incarnation,
+    },
+    /// Who holds a cell.
+    Holds {
+        /// The cell.
+        cell: CellId,
+        /// Its holder.
+        holder: Holder,
+        /// Where the holder's mesh listens.
+        address: SocketAddr,
+        /// The ledger's number at the take-over; the greatest is the latest.
+        number: Fence,
+    },
+}
+
+/// Answer to a pull.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Pulled {
+    /// Nothing newer is in force.
+    Same,
+    /// The edits since the asker's revision, oldest first.
+    Edits {
+        /// Revision after them.
+        revision: Revision,
+        /// The edits.
+        edits: Vec<Edit>,
+    },
+    /// The whole record.
+    Whole {
+        /// Its revision.
+        revision: Revision,
+        /// The record.
+        record: Box<ManifestRecord>,
+    },
+}
--- /dev/null
+++ b/core/src/mesh/tests.rs
@@ -0,0 +1,196 @@
+use {
+    super::*,
+    crate::{
+        clock::Time,
+        ids::{Incarnation, Revision},
+        order::Holder,
+    },
+    proptest::prelude::*,
+    std::time::Duration,
+};
+
+const KEY: &[u8] = b"0123456789abcdef";
+const PACE: Pace = Pace {
+    beat: Duration::from_millis(100),
+};
+
+fn info(name: &str) -> MemberInfo {
+    MemberInfo {
+        id: name.parse().unwrap(),
+        start: Incarnation(1),
+        life: 0,
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "nl".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+    }
+}
+
+fn envelope() -> Envelope {
+    let from = Holder {
+        instance: "a".parse().unwrap(),
+        start: Incarnation(1),
+    };
+    let body = Message::Pull { have: Revision(3) };
+    Envelope {
+        from,
+        to: None,
+        number: 1,
+        body,
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+#[test]
+fn open_refuses_by_the_fault_table() {
+    let good = seal(&envelope(), KEY, MAX_DATAGRAM).unwrap();
+    assert_eq!(open(&good, KEY, MAX_DATAGRAM), Ok(envelope()));
+    let mut future = good.clone();
+    future[0] = VERSION + 1;
+    let mut altered = good.clone();
+    altered[3] ^= 1;
+    let mut longer = good.clone();
+    longer.push(0);
+    let cases = [
+        ("empty", vec![], FrameError::Short(0)),
+        ("no body", vec![VERSION; 16], FrameError::Short(16)),
+        ("future version", future, FrameError::Version(2)),
+        ("altered", altered, FrameError::Mac),
+        ("longer", longer, FrameError::Mac),
+        ("oversized", vec![VERSION; 1_401], FrameError::Large(1_401)),
+    ];
+    for (name, bytes, want) in cases {
+        assert_eq!(open(&bytes, KEY, MAX_DATAGRAM), Err(want), "{name}");
+    }
+    assert_eq!(
+        open(&good, b"another key here", MAX_DATAGRAM),
+        Err(FrameError::Mac)
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..Default::default() })]
+
+    #[test]
+    fn open_survives_any_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(open(&bytes, KEY, MAX_DATAGRAM).is_err());
+    }
+
+    #[test]
+    fn open_refuses_any_flipped_bit(byte in 0usize..1_000, bit in 0u8..8) {
+        let mut frame = seal(&envelope(), KEY, MAX_DATAGRAM).unwrap();
+        let byte = byte % frame.len();
+        frame[byte] ^= 1 << bit;
+        prop_assert!(open(&frame, KEY, MAX_DATAGRAM).is_err());
+    }
+
+    #[test]
+    fn replay_passes_each_number_once(numbers in proptest::collection::vec(0u64..200, 1..300)) {
+        let mut window = ReplayWindow::default();
+        let mut passed = std::collections::HashSet::new();
+        for number in numbers {
+            if window.pass(Incarnation(1), number) {
+                prop_assert!(passed.insert(number), "{} passed twice", number);
+            }
+        }
+    }
+}
+
+#[test]
+fn beat_suspects_then_buries_a_silent_member() {
+    let mut view = View::new(info("a"), PACE);
+    view.heard(&info("b"), at(0));
+    let mut states = Vec::new();
+    for t in 1..20 {
+        view.beat(3, at(t * 100));
+        states.push(view.member(&"b".parse().unwrap()).unwrap().state);
+    }
+    assert_eq!(states[3], MemberState::Alive);
+    assert_eq!(states[5], MemberState::Suspect);
+    assert_eq!(*states.last().unwrap(), MemberState::Dead);
+}
+
+#[test]
+fn learn_refutes_a_suspicion_of_itself() {
+    let mut view = View::new(info("a"), PACE);
+    view.learn(&info("a"), MemberState::Suspect, at(0));
+    assert_eq!(view.me().life, 1);
+    let mut other = View::new(info("b"), PACE);
+    other.learn(&info("a"), MemberState::Alive, at(0));
+    other.learn(&info("a"), MemberState::Suspect, at(0));
+    other.learn(&info("a"), MemberState::Alive, at(1));
+    assert_eq!(
+        other.member(&"a".parse().unwrap()).unwrap().state,
+        MemberState::Suspect
+    );
+    other.learn(view.me(), MemberState::Alive, at(2));
+    assert_eq!(
+        other.member(&"a".parse().unwrap()).unwrap().state,
+        MemberState::Alive
+    );
+}
+
+#[test]
+fn learn_keeps_a_later_start_over_news_of_an_earlier() {
+    let mut view = View::new(info("a"), PACE);
+    let restarted = MemberInfo {
+        start: Incarnation(2),
+        ..info("b")
+    };
+    view.learn(&restarted, MemberState::Alive, at(0));
+    view.learn(
+        &MemberInfo {
+            life: 9,
+            ..info("b")
+        },
+        MemberState::Dead,
+        at(1),
+    );
+    assert_eq!(
+        view.member(&"b".parse().unwrap()).unwrap().state,
+        MemberState::Alive
+    );
+}
+
+#[test]
+fn view_is_bounded_and_keeps_both_near_and_far() {
+    let mut view = View::new(info("a"), PACE);
+    for i in 0..1_000 {
+        let region = if i % 9 == 0 { "nl" } else { "no" };
+        let other = MemberInfo {
+            region: region.parse().unwrap(),
+            ..info(&format!("n{i}"))
+        };
+        view.learn(&other, MemberState::Alive, at(0));
+    }
+    assert_eq!(view.members().count(), NEAR + FAR);
+    let near = view
+        .members()
+        .filter(|m| m.info.region.as_str() == "nl")
+        .count();
+    assert_eq!(near, NEAR);
+}
+
+#[test]
+fn rank_for_gives_each_duty_one_first_instance() {
+    let names = ["a", "b", "c", "d"];
+    let firsts = names.iter().filter(|me| {
+        let mut view = View::new(info(me), PACE);
+        names
+            .iter()
+            .filter(|n| n != me)
+            .for_each(|n| view.heard(&info(n), at(0)));
+        view.rank_for("cell-1", &"nl".parse().unwrap()) == 0
+    });
+    assert_eq!(firsts.count(), 1);
+}
+
+#[test]
+fn news_is_told_a_bounded_number_of_times() {
+    let mut view = View::new(info("a"), PACE);
+    view.heard(&info("b"), at(0));
+    let told: usize = (0..100).map(|_| view.news(4).len()).sum();
+    assert_eq!(told, 12);
+}
