--- a/core/src/claim/bucket.rs
+++ b/core/src/claim/bucket.rs
@@ -1,7 +1,7 @@
 use {
     super::{Claim, ClaimKey, ClaimStage, StoredAnswer, WallTime},
     crate::{
-        ids::{Fingerprint, Millis, WriterToken},
+        ids::{Fingerprint, Millis, RunId, WriterToken},
         order::Holder,
     },
     serde::{Deserialize, Serialize},
@@ -47,18 +47,20 @@
         body: Fingerprint,
         /// Who would run it.
         by: Holder,
+        /// The run that would have it; asking twice for the same run is as asking once.
+        run: RunId,
     },
     /// Record how a run ended.
     End {
-        /// Who ran it.
-        by: Holder,
+        /// The run that has ended.
+        run: RunId,
         /// How it ended.
         stage: ClaimStage,
     },
     /// Give a claim back, because the request was certainly not run.
     Release {
-        /// Who held it.
-        by: Holder,
+        /// The run that held it.
+        run: RunId,
     },
 }
 
@@ -76,17 +78,17 @@
     /// Changes that don't fit what is recorded leave it as it is.
     pub fn apply(&mut self, key: ClaimKey, edit: &Edit, at: WallTime) -> Verdict {
         match edit {
-            Edit::Claim { body, by } => self.claim(key, *body, by, at),
-            Edit::End { by, stage } => {
-                let mine = self.claims.get_mut(&key).filter(|c| c.by == *by);
+            Edit::Claim { body, by, run } => self.claim(key, *body, by, run, at),
+            Edit::End { run, stage } => {
+                let mine = self.claims.get_mut(&key).filter(|c| c.run == *run);
                 if let Some(claim) = mine {
                     claim.stage = stage.clone();
                     claim.at = at;
                 }
                 Verdict::Granted
             }
-            Edit::Release { by } => {
-                let open = |c: &Claim| c.by == *by && c.stage == ClaimStage::Claimed;
+            Edit::Release { run } => {
+                let open = |c: &Claim| c.run == *run && c.stage == ClaimStage::Claimed;
                 if self.claims.get(&key).is_some_and(open) {
                     self.claims.remove(&key);
                 }
@@ -95,12 +97,21 @@
         }
     }
 
-    fn claim(&mut self, key: ClaimKey, body: Fingerprint, by: &Holder, at: WallTime) -> Verdict {
+    fn claim(
+        &mut self,
+        key: ClaimKey,
+        body: Fingerprint,
+        by: &Holder,
+        run: &RunId,
+        at: WallTime,
+    ) -> Verdict {
         if let Some(claim) = self.claims.get(&key) {
             if claim.body != body {
                 return Verdict::KeyReused;
             }
             return match &claim.stage {
+                // An earlier attempt to write the same claim took effect.
+                ClaimStage::Claimed if claim.run == *run => Verdict::Granted,
                 ClaimStage::Claimed => Verdict::Taken(claim.by.clone()),
                 ClaimStage::Answered(answer) => Verdict::Answered(answer.clone()),
                 ClaimStage::Unknown => Verdict::Unknown,
--- a/core/src/claim/record.rs
+++ b/core/src/claim/record.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        ids::{CallerId, Fingerprint, Millis},
+        ids::{CallerId, Fingerprint, Millis, RunId},
         order::Holder,
     },
     serde::{Deserialize, Serialize},
@@ -72,6 +72,8 @@
     pub body: Fingerprint,
     /// Who runs it.
     pub by: Holder,
+    /// The run that has it.
+    pub run: RunId,
     /// When it was last written.
     pub at: WallTime,
     /// How far it has come.
--- a/core/src/claim/tests.rs
+++ b/core/src/claim/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::*,
     crate::{
-        ids::{Fingerprint, Incarnation, Millis},
+        ids::{Fingerprint, Incarnation, Millis, RunId},
         order::Holder,
     },
 };
@@ -24,6 +24,10 @@
     }
 }
 
+fn run(name: &str) -> RunId {
+    format!("run-{name}").parse().unwrap()
+}
+
 fn ended() -> ClaimStage {
     ClaimStage::Answered(StoredAnswer {
         status: 200,
@@ -62,7 +66,7 @@
     let mut bucket = Bucket::empty("w".parse().unwrap());
     let k = key("1");
     bucket.apply(k, &ask("a", 1), Millis(0));
-    bucket.apply(k, &Edit::Release { by: holder("b") }, Millis(1));
+    bucket.apply(k, &Edit::Release { run: run("b") }, Millis(1));
     bucket.apply(
         k,
         &Edit::End {
@@ -72,7 +76,7 @@
         Millis(1),
     );
     assert_eq!(bucket.claims[&k].stage, ClaimStage::Claimed);
-    bucket.apply(k, &Edit::Release { by: holder("a") }, Millis(1));
+    bucket.apply(k, &Edit::Release { run: run("a") }, Millis(1));
     assert!(bucket.claims.is_empty());
 }
 
--- a/core/src/limit/retry.rs
+++ b/core/src/limit/retry.rs
@@ -1,5 +1,5 @@
 /// Retries that may be saved up.
-const BURST: f64 = 10.0;
+const BURST: f64 = 50.0;
 
 /// Allows retries as a share of fresh requests.
 #[derive(Debug, Clone)]
@@ -16,7 +16,7 @@
     ///
     /// let mut budget = RetryBudget::new(0.1);
     /// let begun = (0..100).filter(|_| budget.take()).count();
-    /// assert_eq!(begun, 10);
+    /// assert_eq!(begun, 50);
     /// (0..20).for_each(|_| budget.fresh());
     /// assert_eq!((0..100).filter(|_| budget.take()).count(), 2);
     /// ```
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -99,6 +99,15 @@
         /// Its incarnation.
         boot: Incarnation,
     },
+    /// An engine is being emptied for an order: no new work for a while.
+    Paused {
+        /// The engine.
+        engine: EngineId,
+        /// Number of the holder's pause; the greatest is the latest.
+        number: u64,
+        /// Whether it is paused, or in service again.
+        on: bool,
+    },
     /// Who holds a cell.
     Holds {
         /// The cell.
--- a/core/src/mesh/view.rs
+++ b/core/src/mesh/view.rs
@@ -252,6 +252,7 @@
         (News::Member { info: x, .. }, News::Member { info: y, .. }) => x.id == y.id,
         (News::Holds { cell: x, .. }, News::Holds { cell: y, .. }) => x == y,
         (News::Leaving { engine: x, .. }, News::Leaving { engine: y, .. }) => x == y,
+        (News::Paused { engine: x, .. }, News::Paused { engine: y, .. }) => x == y,
         (x, y) => x == y,
     }
 }
--- /dev/null
+++ b/node/src/http/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP on both sides, by hyper.
+
+mod body;
+mod client;
+mod server;
+
+pub use {body::*, client::*, server::*};
