core: a claim is known by its run

Cause: two requests of one instance with one key were told apart by nothing, so that a claim whose write was lost and read back could not be known as one's own.

--- a/core/src/claim/bucket.rs
+++ b/core/src/claim/bucket.rs
@@ -123,6 +123,7 @@
         let claim = Claim {
             body,
             by: by.clone(),
+            run: run.clone(),
             at,
             stage: ClaimStage::Claimed,
         };
--- a/core/src/claim/tests.rs
+++ b/core/src/claim/tests.rs
@@ -21,6 +21,7 @@
     Edit::Claim {
         body: Fingerprint(body),
         by: holder(by),
+        run: run(by),
     }
 }
 
@@ -51,7 +52,7 @@
     );
     assert_eq!(bucket.apply(k, &ask("b", 2), Millis(1)), Verdict::KeyReused);
     let end = Edit::End {
-        by: holder("a"),
+        run: run("a"),
         stage: ended(),
     };
     bucket.apply(k, &end, Millis(2));
@@ -70,7 +71,7 @@
     bucket.apply(
         k,
         &Edit::End {
-            by: holder("b"),
+            run: run("b"),
             stage: ended(),
         },
         Millis(1),
@@ -88,7 +89,7 @@
     bucket.apply(
         key("done"),
         &Edit::End {
-            by: holder("a"),
+            run: run("a"),
             stage: ended(),
         },
         Millis(0),
@@ -110,7 +111,7 @@
             body: Some("x".repeat(MAX_BODY)),
         };
         let end = Edit::End {
-            by: holder("a"),
+            run: run("a"),
             stage: ClaimStage::Answered(answer),
         };
         bucket.apply(k, &end, Millis(0));
