--- a/core/src/admit/gate.rs
+++ b/core/src/admit/gate.rs
@@ -37,10 +37,7 @@
     let after_end = (ask.waited + pick.end).saturating_sub(ask.class.deadline.span());
     let wait = late.max(after_end);
     if !wait.is_zero() {
-        let text = format!(
-            "the answer would come {} ms too late",
-            wait.as_millis().max(1)
-        );
+        let text = format!("the answer would come {} ms too late", wait.as_millis().max(1));
         return Err(Fault::new(ErrorKind::NoCapacity, text).after(wait));
     }
     let contended = pick.first > first.mul_f64(CONTENDED);
--- a/core/src/admit/shares.rs
+++ b/core/src/admit/shares.rs
@@ -36,16 +36,8 @@
         if self.uses.len() > SWEEP {
             self.uses.retain(|_, u| u.now(now) > FORGET);
         }
-        let seen = self.uses.entry(workspace.clone()).or_insert(Use {
-            cost: 0.0,
-            share,
-            at: now,
-        });
-        *seen = Use {
-            cost: seen.now(now) + cost,
-            share,
-            at: now,
-        };
+        let seen = self.uses.entry(workspace.clone()).or_insert(Use { cost: 0.0, share, at: now });
+        *seen = Use { cost: seen.now(now) + cost, share, at: now };
     }
 
     /// Whether a workspace has used more than its share of what all workspaces used.
--- a/core/src/claim/bucket.rs
+++ b/core/src/claim/bucket.rs
@@ -67,10 +67,7 @@
 impl Bucket {
     /// A bucket without claims.
     pub fn empty(writer: WriterToken) -> Self {
-        Self {
-            writer,
-            claims: BTreeMap::new(),
-        }
+        Self { writer, claims: BTreeMap::new() }
     }
 
     /// Applies one change and tells what became of it.
@@ -120,13 +117,8 @@
         if self.claims.len() >= MAX_CLAIMS {
             return Verdict::Full;
         }
-        let claim = Claim {
-            body,
-            by: by.clone(),
-            run: run.clone(),
-            at,
-            stage: ClaimStage::Claimed,
-        };
+        let claim =
+            Claim { body, by: by.clone(), run: run.clone(), at, stage: ClaimStage::Claimed };
         self.claims.insert(key, claim);
         Verdict::Granted
     }
--- a/core/src/error/answer.rs
+++ b/core/src/error/answer.rs
@@ -77,11 +77,6 @@
             Self::TargetTimeout => (504, "target-timeout", Unknown, None),
             Self::BadAnswer => (502, "bad-answer", Unknown, None),
         };
-        Answer {
-            status,
-            code,
-            outcome,
-            retry,
-        }
+        Answer { status, code, outcome, retry }
     }
 }
--- a/core/src/error/fault.rs
+++ b/core/src/error/fault.rs
@@ -28,12 +28,7 @@
     /// ```
     pub fn new(kind: ErrorKind, text: impl Into<String>) -> Self {
         let answer = kind.answer();
-        Self {
-            kind,
-            text: text.into(),
-            outcome: answer.outcome,
-            retry: answer.retry,
-        }
+        Self { kind, text: text.into(), outcome: answer.outcome, retry: answer.retry }
     }
 
     /// The same error with a later time to come back, never an earlier one than the table's.
--- a/core/src/error/tests.rs
+++ b/core/src/error/tests.rs
@@ -17,11 +17,7 @@
 
 #[test]
 fn answer_after_sending_is_never_not_run() {
-    for kind in [
-        ErrorKind::TargetLost,
-        ErrorKind::TargetTimeout,
-        ErrorKind::BadAnswer,
-    ] {
+    for kind in [ErrorKind::TargetLost, ErrorKind::TargetTimeout, ErrorKind::BadAnswer] {
         assert_eq!(kind.answer().outcome, Outcome::Unknown, "{kind}");
     }
 }
--- a/core/src/fleet/cache.rs
+++ b/core/src/fleet/cache.rs
@@ -76,9 +76,7 @@
 
     /// The number that the next event of an engine should have.
     pub fn next(&self, engine: &EngineId) -> u64 {
-        self.slots
-            .get(engine)
-            .map_or(0, |slot| self.feeds[*slot as usize].next)
+        self.slots.get(engine).map_or(0, |slot| self.feeds[*slot as usize].next)
     }
 
     /// Notes that a prompt was sent to an engine, which will hold its blocks.
@@ -105,10 +103,8 @@
         if self.young.len() >= MAX_BLOCKS && !self.young.contains_key(&block) {
             self.old = std::mem::take(&mut self.young);
         }
-        let copies = self
-            .young
-            .entry(block)
-            .or_insert_with(|| self.old.remove(&block).unwrap_or_default());
+        let copies =
+            self.young.entry(block).or_insert_with(|| self.old.remove(&block).unwrap_or_default());
         copies.retain(|c| c.slot != slot);
         copies.push(Held { slot, epoch });
     }
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -40,8 +40,10 @@
     pub breaker: Breaker,
     /// It is leaving the fleet: no new work.
     pub leaving: bool,
-    /// It carries out an order or is about to get one: no new work.
+    /// It is emptied for an order: no new work.
     pub changing: bool,
+    /// It carries out an order.
+    pub away: bool,
     /// It runs a suspect alone: no new work.
     pub isolated: bool,
 }
@@ -63,13 +65,14 @@
             breaker: Breaker::default(),
             leaving: false,
             changing: false,
+            away: false,
             isolated: false,
         }
     }
 
     /// Whether new work may go to it.
     pub fn open(&self, now: Time) -> bool {
-        !self.leaving && !self.changing && !self.isolated && self.breaker.allows(now)
+        !self.leaving && !self.changing && !self.away && !self.isolated && self.breaker.allows(now)
     }
 
     /// Prompt tokens per second that it prefills in its role.
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -53,11 +53,7 @@
 
     /// Notes work sent at `now`: a prompt to prefill and perhaps a request to decode.
     pub fn sent(&mut self, prompt: Tokens, decode: bool, now: Time) {
-        self.sends.push_back(Send {
-            at: now,
-            prompt,
-            decode,
-        });
+        self.sends.push_back(Send { at: now, prompt, decode });
         while self.sends.front().is_some_and(|s| now - s.at > FORGET) {
             self.sends.pop_front();
         }
--- a/core/src/ids/name.rs
+++ b/core/src/ids/name.rs
@@ -35,10 +35,7 @@
     }
     let refused = |c: &char| !(c.is_alphanumeric() || "-_.:/".contains(*c));
     match text.chars().find(refused) {
-        Some(found) => Err(NameError::BadChar {
-            text: text.to_owned(),
-            found,
-        }),
+        Some(found) => Err(NameError::BadChar { text: text.to_owned(), found }),
         None => Ok(text.into()),
     }
 }
--- a/core/src/limit/breaker.rs
+++ b/core/src/limit/breaker.rs
@@ -21,9 +21,7 @@
 impl Breaker {
     /// Whether a request may go to the target now.
     pub fn allows(&self, now: Time) -> bool {
-        self.open
-            .as_ref()
-            .is_none_or(|o| now >= o.until && !o.probe)
+        self.open.as_ref().is_none_or(|o| now >= o.until && !o.probe)
     }
 
     /// Notes that a request goes out; while the breaker is open, it is the probe.
@@ -46,11 +44,7 @@
             open.until = now + open.wait;
             open.probe = false;
         } else if self.failures >= TRIP {
-            self.open = Some(Open {
-                until: now + FIRST,
-                wait: FIRST,
-                probe: false,
-            });
+            self.open = Some(Open { until: now + FIRST, wait: FIRST, probe: false });
         }
     }
 
@@ -58,11 +52,7 @@
     pub fn trip(&mut self, now: Time) {
         self.failures = self.failures.max(TRIP);
         if self.open.is_none() {
-            self.open = Some(Open {
-                until: now + FIRST,
-                wait: FIRST,
-                probe: false,
-            });
+            self.open = Some(Open { until: now + FIRST, wait: FIRST, probe: false });
         }
     }
 }
--- a/core/src/limit/retry.rs
+++ b/core/src/limit/retry.rs
@@ -21,10 +21,7 @@
     /// assert_eq!((0..100).filter(|_| budget.take()).count(), 2);
     /// ```
     pub fn new(share: f64) -> Self {
-        Self {
-            share,
-            saved: BURST,
-        }
+        Self { share, saved: BURST }
     }
 
     /// Notes a fresh request.
--- a/core/src/manifest/change.rs
+++ b/core/src/manifest/change.rs
@@ -57,12 +57,7 @@
     let (Value::Object(old), Value::Object(new)) = (old, new) else {
         if old != new {
             let (old, new) = (text(Some(old)), text(Some(new)));
-            changes.push(Change {
-                section: section.into(),
-                entry: String::new(),
-                old,
-                new,
-            });
+            changes.push(Change { section: section.into(), entry: String::new(), old, new });
         }
         return;
     };
@@ -73,12 +68,7 @@
         let (before, after) = (old.get(name), new.get(name));
         if before != after {
             let (old, new) = (text(before), text(after));
-            changes.push(Change {
-                section: section.into(),
-                entry: name.clone(),
-                old,
-                new,
-            });
+            changes.push(Change { section: section.into(), entry: name.clone(), old, new });
         }
     }
 }
@@ -97,10 +87,7 @@
 
 fn apply_change(doc: &mut Value, change: &Change) -> Result<(), String> {
     let value = |text: &Option<String>| -> Result<Option<Value>, String> {
-        text.as_deref()
-            .map(serde_json::from_str)
-            .transpose()
-            .map_err(|e| e.to_string())
+        text.as_deref().map(serde_json::from_str).transpose().map_err(|e| e.to_string())
     };
     let (old, new) = (value(&change.old)?, value(&change.new)?);
     let section = doc
@@ -114,10 +101,7 @@
         .as_object_mut()
         .ok_or_else(|| format!("section {:?} has no entries", change.section))?;
     if entries.get(&change.entry) != old.as_ref() {
-        return Err(format!(
-            "entry {:?} of {:?} differs",
-            change.entry, change.section
-        ));
+        return Err(format!("entry {:?} of {:?} differs", change.entry, change.section));
     }
     match new {
         Some(new) => entries.insert(change.entry.clone(), new),
--- a/core/src/manifest/check.rs
+++ b/core/src/manifest/check.rs
@@ -22,10 +22,7 @@
 
     fn check_models(&self, found: &mut Vec<Problem>) {
         if !(self.weight.0.is_finite() && self.weight.0 >= 0.0) {
-            found.push(Problem::new(
-                "weight",
-                "change weight is not a number of at least 0",
-            ));
+            found.push(Problem::new("weight", "change weight is not a number of at least 0"));
         }
         for id in self.models.keys() {
             if !self.engines.values().any(|e| e.model == *id) {
@@ -58,10 +55,7 @@
                 found.push(Problem::new(format!("engines.{id}.cell"), text));
             }
             if cell.1 == MAX_CELL + 1 {
-                let text = format!(
-                    "cell {:?} has over {MAX_CELL} engines",
-                    engine.cell.as_str()
-                );
+                let text = format!("cell {:?} has over {MAX_CELL} engines", engine.cell.as_str());
                 found.push(Problem::new(format!("engines.{id}.cell"), text));
             }
         }
@@ -77,17 +71,11 @@
                 let read = ["GET", "HEAD"].contains(&rule.method.as_str());
                 if read && rule.repeat == Repeat::Keyed {
                     let text = "a read needs no idempotency key";
-                    found.push(Problem::new(
-                        format!("services.{id}.rules[{i}].repeat"),
-                        text,
-                    ));
+                    found.push(Problem::new(format!("services.{id}.rules[{i}].repeat"), text));
                 }
                 if !rule.prefix.starts_with('/') {
                     let text = format!("prefix {:?} does not start with '/'", rule.prefix);
-                    found.push(Problem::new(
-                        format!("services.{id}.rules[{i}].prefix"),
-                        text,
-                    ));
+                    found.push(Problem::new(format!("services.{id}.rules[{i}].prefix"), text));
                 }
             }
         }
@@ -195,12 +183,7 @@
                 caller.class.as_str(),
             );
             if let Some(group) = &caller.group {
-                missing(
-                    self.groups.contains_key(group),
-                    "group",
-                    "group",
-                    group.as_str(),
-                );
+                missing(self.groups.contains_key(group), "group", "group", group.as_str());
             }
             for (i, model) in caller.models.iter().enumerate() {
                 let known = self.models.contains_key(model);
@@ -208,12 +191,7 @@
             }
             for (i, service) in caller.services.iter().enumerate() {
                 let known = self.services.contains_key(service);
-                missing(
-                    known,
-                    &format!("services[{i}]"),
-                    "service",
-                    service.as_str(),
-                );
+                missing(known, &format!("services[{i}]"), "service", service.as_str());
             }
         }
     }
--- a/core/src/manifest/index.rs
+++ b/core/src/manifest/index.rs
@@ -30,16 +30,8 @@
     /// An index of `manifest`, which must have passed its check.
     pub fn new(revision: Revision, manifest: impl Into<Arc<Manifest>>) -> Self {
         let manifest = manifest.into();
-        let callers = manifest
-            .callers
-            .iter()
-            .map(|(id, c)| (c.key, id.clone()))
-            .collect();
-        Self {
-            revision,
-            manifest,
-            callers,
-        }
+        let callers = manifest.callers.iter().map(|(id, c)| (c.key, id.clone())).collect();
+        Self { revision, manifest, callers }
     }
 
     /// The caller with a bearer key.
@@ -48,10 +40,7 @@
     /// [`ErrorKind::NoCaller`] if there is none.
     pub fn caller(&self, key: Option<&str>) -> Result<(&CallerId, &CallerSpec), Fault> {
         let Some(key) = key else {
-            return Err(Fault::new(
-                ErrorKind::NoCaller,
-                "the request has no bearer key",
-            ));
+            return Err(Fault::new(ErrorKind::NoCaller, "the request has no bearer key"));
         };
         self.callers
             .get(&KeyHash::of(key))
@@ -64,15 +53,9 @@
     /// # Errors
     /// [`ErrorKind::UnknownModel`] or [`ErrorKind::Forbidden`].
     pub fn resolve(&self, caller: &CallerSpec, name: &str) -> Result<Resolved, Fault> {
-        let resolved = self
-            .alias(caller, name)
-            .or_else(|| self.model(name))
-            .ok_or_else(|| {
-                Fault::new(
-                    ErrorKind::UnknownModel,
-                    format!("model {name:?} does not exist"),
-                )
-            })?;
+        let resolved = self.alias(caller, name).or_else(|| self.model(name)).ok_or_else(|| {
+            Fault::new(ErrorKind::UnknownModel, format!("model {name:?} does not exist"))
+        })?;
         if !caller.models.contains(&resolved.model) {
             let text = format!("model {name:?} may not be reached by this caller");
             return Err(Fault::new(ErrorKind::Forbidden, text));
@@ -83,17 +66,9 @@
     fn alias(&self, caller: &CallerSpec, name: &str) -> Option<Resolved> {
         let alias: Alias = name.parse().ok()?;
         let group = self.manifest.groups.get(caller.group.as_ref()?)?;
-        let included = group
-            .includes
-            .iter()
-            .filter_map(|id| self.manifest.groups.get(id));
-        let spec = std::iter::once(group)
-            .chain(included)
-            .find_map(|g| g.aliases.get(&alias))?;
-        Some(Resolved {
-            model: spec.model.clone(),
-            adapter: spec.adapter.clone(),
-        })
+        let included = group.includes.iter().filter_map(|id| self.manifest.groups.get(id));
+        let spec = std::iter::once(group).chain(included).find_map(|g| g.aliases.get(&alias))?;
+        Some(Resolved { model: spec.model.clone(), adapter: spec.adapter.clone() })
     }
 
     fn model(&self, name: &str) -> Option<Resolved> {
@@ -105,34 +80,18 @@
         let spec = self.manifest.models.get(&model)?;
         let adapter = match adapter {
             None => None,
-            Some(text) => Some(
-                spec.adapters
-                    .get_key_value(&text.parse::<AdapterId>().ok()?)?
-                    .0,
-            ),
+            Some(text) => Some(spec.adapters.get_key_value(&text.parse::<AdapterId>().ok()?)?.0),
         };
-        Some(Resolved {
-            model,
-            adapter: adapter.cloned(),
-        })
+        Some(Resolved { model, adapter: adapter.cloned() })
     }
 
     /// Names under which a caller can ask for models.
     pub fn names(&self, caller: &CallerSpec) -> Vec<String> {
         let mut names: Vec<String> = caller.models.iter().map(ToString::to_string).collect();
-        let group = caller
-            .group
-            .as_ref()
-            .and_then(|id| self.manifest.groups.get(id));
+        let group = caller.group.as_ref().and_then(|id| self.manifest.groups.get(id));
         for group in group.iter().copied() {
-            let included = group
-                .includes
-                .iter()
-                .filter_map(|id| self.manifest.groups.get(id));
-            for (alias, spec) in std::iter::once(group)
-                .chain(included)
-                .flat_map(|g| &g.aliases)
-            {
+            let included = group.includes.iter().filter_map(|id| self.manifest.groups.get(id));
+            for (alias, spec) in std::iter::once(group).chain(included).flat_map(|g| &g.aliases) {
                 if caller.models.contains(&spec.model) {
                     names.push(alias.to_string());
                 }
--- a/core/src/manifest/problem.rs
+++ b/core/src/manifest/problem.rs
@@ -12,10 +12,7 @@
 impl Problem {
     /// A fault at `path`.
     pub fn new(path: impl Into<String>, text: impl Into<String>) -> Self {
-        Self {
-            path: path.into(),
-            text: text.into(),
-        }
+        Self { path: path.into(), text: text.into() }
     }
 }
 
--- a/core/src/manifest/record.rs
+++ b/core/src/manifest/record.rs
@@ -44,18 +44,10 @@
         let empty = Manifest::default();
         let before = old.map_or(&empty, |r| &r.manifest);
         let changes = diff(before, &manifest);
-        recent.push_back(Edit {
-            base,
-            writer: writer.clone(),
-            changes,
-        });
+        recent.push_back(Edit { base, writer: writer.clone(), changes });
         while recent.len() > MAX_RECENT {
             recent.pop_front();
         }
-        Self {
-            writer,
-            manifest,
-            recent,
-        }
+        Self { writer, manifest, recent }
     }
 }
--- a/core/src/mesh/frame.rs
+++ b/core/src/mesh/frame.rs
@@ -91,9 +91,7 @@
         return Err(FrameError::Version(bytes[0]));
     }
     let (signed, tag) = bytes.split_at(bytes.len() - TAG);
-    mac(key, signed)?
-        .verify_truncated_left(tag)
-        .map_err(|_| FrameError::Mac)?;
+    mac(key, signed)?.verify_truncated_left(tag).map_err(|_| FrameError::Mac)?;
     let (envelope, rest) =
         postcard::take_from_bytes(&signed[1..]).map_err(|_| FrameError::Malformed)?;
     match rest.is_empty() {
--- a/core/src/mesh/replay.rs
+++ b/core/src/mesh/replay.rs
@@ -30,20 +30,12 @@
             return false;
         }
         if start > self.start {
-            *self = Self {
-                start,
-                top: number,
-                seen: 1,
-            };
+            *self = Self { start, top: number, seen: 1 };
             return true;
         }
         if number > self.top {
             let shift = number - self.top;
-            self.seen = if shift >= WIDTH {
-                0
-            } else {
-                self.seen << shift
-            };
+            self.seen = if shift >= WIDTH { 0 } else { self.seen << shift };
             self.seen |= 1;
             self.top = number;
             return true;
--- a/core/src/mesh/view.rs
+++ b/core/src/mesh/view.rs
@@ -56,13 +56,7 @@
 impl View {
     /// A view that knows only `me`.
     pub fn new(me: MemberInfo, pace: Pace) -> Self {
-        Self {
-            me,
-            pace,
-            members: BTreeMap::new(),
-            news: Vec::new(),
-            turn: 0,
-        }
+        Self { me, pace, members: BTreeMap::new(), news: Vec::new(), turn: 0 }
     }
 
     /// What this instance says of itself.
@@ -77,9 +71,7 @@
 
     /// Members that are not known to be gone.
     pub fn live(&self) -> impl Iterator<Item = &Member> {
-        self.members
-            .values()
-            .filter(|m| m.state <= MemberState::Suspect)
+        self.members.values().filter(|m| m.state <= MemberState::Suspect)
     }
 
     /// A member by name.
@@ -120,19 +112,10 @@
                 return;
             }
             let info = info.clone();
-            let member = Member {
-                info,
-                state,
-                since: now,
-                heard: now,
-                asked: None,
-            };
+            let member = Member { info, state, since: now, heard: now, asked: None };
             self.members.insert(member.info.id.clone(), member);
         }
-        self.tell(News::Member {
-            info: info.clone(),
-            state,
-        });
+        self.tell(News::Member { info: info.clone(), state });
     }
 
     fn refute(&mut self, info: &MemberInfo, state: MemberState) {
@@ -140,10 +123,7 @@
         if about_me && state > MemberState::Alive {
             self.me.life = info.life + 1;
             let me = self.me.clone();
-            self.tell(News::Member {
-                info: me,
-                state: MemberState::Alive,
-            });
+            self.tell(News::Member { info: me, state: MemberState::Alive });
         }
     }
 
@@ -223,10 +203,7 @@
             };
             member.state = next;
             member.since = now;
-            changed.push(News::Member {
-                info: member.info.clone(),
-                state: next,
-            });
+            changed.push(News::Member { info: member.info.clone(), state: next });
         }
         changed.into_iter().for_each(|n| self.tell(n));
         let gone = |m: &Member| m.state > MemberState::Suspect && now - m.since > pace.forget();
--- a/core/src/order/ledger.rs
+++ b/core/src/order/ledger.rs
@@ -41,12 +41,7 @@
     pub fn take(old: Option<&Self>, holder: Holder, writer: WriterToken) -> Self {
         let number = old.map_or(Fence(0), |l| l.number).next();
         let entries = old.map(|l| l.entries.clone()).unwrap_or_default();
-        Self {
-            writer,
-            holder,
-            number,
-            entries,
-        }
+        Self { writer, holder, number, entries }
     }
 
     /// Enters an order before it goes out, and gives its fencing number.
@@ -65,20 +60,11 @@
         }
         let open = self.entries.get(engine).filter(|e| e.stage == Stage::Open);
         if let Some(entry) = open {
-            return Err(OrderError::Unsettled {
-                engine: engine.clone(),
-                number: entry.number,
-            });
+            return Err(OrderError::Unsettled { engine: engine.clone(), number: entry.number });
         }
         self.number = self.number.next();
         let number = self.number;
-        let entry = Entry {
-            number,
-            order,
-            by: by.clone(),
-            boot,
-            stage: Stage::Open,
-        };
+        let entry = Entry { number, order, by: by.clone(), boot, stage: Stage::Open };
         self.entries.insert(engine.clone(), entry);
         Ok(number)
     }
--- a/core/src/plan/capacity.rs
+++ b/core/src/plan/capacity.rs
@@ -48,10 +48,7 @@
 /// The split of `total` engines with the least loss, nearest to `current` among equals.
 pub fn best(demand: Demand, rates: &EngineRates, current: Split) -> Split {
     let total = current.total();
-    let split = |prefill: usize| Split {
-        prefill,
-        decode: total - prefill,
-    };
+    let split = |prefill: usize| Split { prefill, decode: total - prefill };
     // At least one engine decodes, or nothing is served.
     (0..total.max(1))
         .map(split)
--- a/core/src/plan/demand.rs
+++ b/core/src/plan/demand.rs
@@ -16,10 +16,7 @@
 impl Add for Demand {
     type Output = Self;
     fn add(self, other: Self) -> Self {
-        Self {
-            prefill: self.prefill + other.prefill,
-            decode: self.decode + other.decode,
-        }
+        Self { prefill: self.prefill + other.prefill, decode: self.decode + other.decode }
     }
 }
 
@@ -34,11 +31,7 @@
 impl DemandMeter {
     /// A meter whose mean reaches back about `span` seconds.
     pub fn new(span: f64, now: Time) -> Self {
-        Self {
-            span,
-            mean: Demand::default(),
-            at: now,
-        }
+        Self { span, mean: Demand::default(), at: now }
     }
 
     /// Notes a request that arrived at `now`, taken on or not.
--- a/core/src/plan/planner.rs
+++ b/core/src/plan/planner.rs
@@ -25,10 +25,7 @@
 
 impl Default for ChangeCost {
     fn default() -> Self {
-        Self {
-            drain: Duration::from_secs(4),
-            away: Duration::from_secs(4),
-        }
+        Self { drain: Duration::from_secs(4), away: Duration::from_secs(4) }
     }
 }
 
@@ -63,14 +60,7 @@
 impl Planner {
     /// A planner with a deployment's weight of changes.
     pub fn new(weight: ChangeWeight, cost: ChangeCost, now: Time) -> Self {
-        Self {
-            weight,
-            cost,
-            regret: 0.0,
-            since: None,
-            toward: None,
-            at: now,
-        }
+        Self { weight, cost, regret: 0.0, since: None, toward: None, at: now }
     }
 
     /// Sets the weight of changes.
--- a/core/src/plan/tests.rs
+++ b/core/src/plan/tests.rs
@@ -15,16 +15,10 @@
 };
 
 fn demand(prefill: f64, decode: f64) -> Demand {
-    Demand {
-        prefill: prefill * 10_000.0,
-        decode: decode * 640.0,
-    }
+    Demand { prefill: prefill * 10_000.0, decode: decode * 640.0 }
 }
 
-const SPLIT: Split = Split {
-    prefill: 3,
-    decode: 7,
-};
+const SPLIT: Split = Split { prefill: 3, decode: 7 };
 
 /// Runs a planner once a second over demands and counts the changes it makes.
 fn follow(weight: f64, demands: impl Iterator<Item = Demand>) -> (Split, u32) {
@@ -32,25 +26,14 @@
     let (mut split, mut changes) = (SPLIT, 0);
     for (second, demand) in demands.enumerate() {
         let now = Time::from_millis(second as u64 * 1_000);
-        let situation = Situation {
-            demand,
-            rates: &RATES,
-            split,
-            away: 0,
-        };
+        let situation = Situation { demand, rates: &RATES, split, away: 0 };
         let Some(role) = planner.decide(&situation, now) else {
             continue;
         };
         changes += 1;
         split = match role {
-            Role::Prefill => Split {
-                prefill: split.prefill + 1,
-                decode: split.decode - 1,
-            },
-            Role::Decode => Split {
-                prefill: split.prefill - 1,
-                decode: split.decode + 1,
-            },
+            Role::Prefill => Split { prefill: split.prefill + 1, decode: split.decode - 1 },
+            Role::Decode => Split { prefill: split.prefill - 1, decode: split.decode + 1 },
         };
     }
     (split, changes)
@@ -88,12 +71,8 @@
     let mut planner = Planner::new(ChangeWeight(0.0), ChangeCost::default(), Time::ZERO);
     for second in 0..60 {
         let now = Time::from_millis(second * 1_000);
-        let situation = Situation {
-            demand: demand(9.0, 1.0),
-            rates: &RATES,
-            split: SPLIT,
-            away: 2,
-        };
+        let situation =
+            Situation { demand: demand(9.0, 1.0), rates: &RATES, split: SPLIT, away: 2 };
         assert_eq!(planner.decide(&situation, now), None);
     }
 }
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -62,10 +62,10 @@
     /// The same crash counts once, whoever reports it, so that reports from several instances
     /// may be joined in any order.
     pub fn crashed(&mut self, print: Fingerprint, crash: Crash, now: Time) -> bool {
-        let suspect = self.suspects.entry(print).or_insert_with(|| Suspect {
-            crashes: SmallVec::new(),
-            seen: now,
-        });
+        let suspect = self
+            .suspects
+            .entry(print)
+            .or_insert_with(|| Suspect { crashes: SmallVec::new(), seen: now });
         if suspect.crashes.contains(&crash) || suspect.crashes.len() >= MAX_LOST {
             return false;
         }
@@ -97,11 +97,7 @@
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
-        let oldest = self
-            .suspects
-            .iter()
-            .min_by_key(|(_, s)| s.seen)
-            .map(|(p, _)| *p);
+        let oldest = self.suspects.iter().min_by_key(|(_, s)| s.seen).map(|(p, _)| *p);
         if let Some(print) = oldest {
             self.suspects.remove(&print);
         }
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -63,10 +63,7 @@
 }
 
 fn fits(engine: &EngineView, work: &Work, now: Time) -> bool {
-    let loaded = work
-        .adapter
-        .as_ref()
-        .is_none_or(|a| engine.adapters.contains(a));
+    let loaded = work.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
     let alone = !work.alone || engine.load.expected(0.0, now).idle();
     engine.model == work.model && loaded && alone && engine.open(now)
 }
--- a/core/src/settings/instance.rs
+++ b/core/src/settings/instance.rs
@@ -97,12 +97,7 @@
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self {
-            body: Bytes(1 << 20),
-            open: 4_096,
-            retries: 0.1,
-            drain: Millis(60_000),
-        }
+        Self { body: Bytes(1 << 20), open: 4_096, retries: 0.1, drain: Millis(60_000) }
     }
 }
 
@@ -145,11 +140,7 @@
 
 impl Default for ClaimSettings {
     fn default() -> Self {
-        Self {
-            buckets: 32,
-            gather: Millis(4),
-            keep: Millis(3_600_000),
-        }
+        Self { buckets: 32, gather: Millis(4), keep: Millis(3_600_000) }
     }
 }
 
@@ -177,35 +168,15 @@
         };
         let levels = ["error", "warn", "info", "debug"];
         require(levels.contains(&self.log.as_str()), "log", "no such level");
-        require(
-            self.mesh.key.len() >= MIN_KEY,
-            "mesh.key",
-            "key has fewer than 16 bytes",
-        );
+        require(self.mesh.key.len() >= MIN_KEY, "mesh.key", "key has fewer than 16 bytes");
         require(self.mesh.beat.0 >= 10, "mesh.beat", "shorter than 10 ms");
-        require(
-            self.limits.body.0 > 0,
-            "limits.body",
-            "must be greater than 0",
-        );
-        require(
-            self.limits.open > 0,
-            "limits.open",
-            "must be greater than 0",
-        );
+        require(self.limits.body.0 > 0, "limits.body", "must be greater than 0");
+        require(self.limits.open > 0, "limits.open", "must be greater than 0");
         let share = (0.0..=0.1).contains(&self.limits.retries);
         require(share, "limits.retries", "must lie between 0 and 0.1");
         let margin = self.control.margin.0 * 2 < self.control.lease.0;
-        require(
-            margin,
-            "control.margin",
-            "must be less than half of control.lease",
-        );
-        require(
-            self.claims.buckets > 0,
-            "claims.buckets",
-            "must be greater than 0",
-        );
+        require(margin, "control.margin", "must be less than half of control.lease");
+        require(self.claims.buckets > 0, "claims.buckets", "must be greater than 0");
         found
     }
 }
--- a/core/src/settings/tests.rs
+++ b/core/src/settings/tests.rs
@@ -16,16 +16,8 @@
 fn parse_names_the_path_of_each_fault() {
     let cases = [
         ("\"log\": \"loud\", \"instance\"", "\"instance\"", "log"),
-        (
-            "\"key\": \"short\"",
-            "\"key\": \"0123456789abcdef\"",
-            "mesh.key",
-        ),
-        (
-            "\"store\": 5",
-            "\"store\": \"127.0.0.1:1\"",
-            "platform.store",
-        ),
+        ("\"key\": \"short\"", "\"key\": \"0123456789abcdef\"", "mesh.key"),
+        ("\"store\": 5", "\"store\": \"127.0.0.1:1\"", "platform.store"),
         ("\"stroe\": 5, \"store\"", "\"store\"", "platform.stroe"),
     ];
     for (new, old, path) in cases {
--- a/core/src/stream/check.rs
+++ b/core/src/stream/check.rs
@@ -73,11 +73,7 @@
 impl StreamCheck {
     /// A check of the stream of `run` from `next` on.
     pub fn new(run: RunId, next: u64) -> Self {
-        Self {
-            run,
-            next,
-            ended: false,
-        }
+        Self { run, next, ended: false }
     }
 
     /// The offset that comes next.
@@ -96,19 +92,13 @@
     /// [`ChunkError`]; the check is unchanged then.
     pub fn pass(&mut self, chunk: &Chunk) -> Result<(), ChunkError> {
         if chunk.run != self.run {
-            return Err(ChunkError::Foreign {
-                run: self.run.clone(),
-                found: chunk.run.clone(),
-            });
+            return Err(ChunkError::Foreign { run: self.run.clone(), found: chunk.run.clone() });
         }
         if self.ended {
             return Err(ChunkError::Ended);
         }
         if chunk.offset != self.next {
-            return Err(ChunkError::Offset {
-                next: self.next,
-                found: chunk.offset,
-            });
+            return Err(ChunkError::Offset { next: self.next, found: chunk.offset });
         }
         if chunk.end.is_some() {
             self.ended = true;
--- a/core/src/stream/ticket.rs
+++ b/core/src/stream/ticket.rs
@@ -48,7 +48,7 @@
     /// [`TicketError`] if it was not made with `key` or was altered.
     pub fn open(text: &str, key: &[u8]) -> Result<Self, TicketError> {
         let digits = text.as_bytes();
-        if digits.len() % 2 != 0 || digits.len() < 2 * TAG || !text.is_ascii() {
+        if !digits.len().is_multiple_of(2) || digits.len() < 2 * TAG || !text.is_ascii() {
             return Err(TicketError);
         }
         let bytes: Vec<u8> = (0..digits.len())
--- /dev/null
+++ b/ctl/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! What changes state.
+
+mod apply;
+
+pub use apply::*;
--- /dev/null
+++ b/ctl/src/queries/mod.rs
@@ -0,0 +1,6 @@
+//! What reads state and changes none.
+
+mod instances;
+mod manifest;
+
+pub use {instances::*, manifest::*};
--- /dev/null
+++ b/fakes/src/kv/mod.rs
@@ -0,0 +1,6 @@
+//! Stand-in of the platform's key-value service.
+
+mod faults;
+mod store;
+
+pub use {faults::*, store::*};
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -58,9 +58,7 @@
             return Ok(response.into_body());
         }
         let body = read_all(response.into_body(), MAX_REFUSAL).await;
-        let text = body
-            .map(|b| String::from_utf8_lossy(&b).into_owned())
-            .unwrap_or_default();
+        let text = body.map(|b| String::from_utf8_lossy(&b).into_owned()).unwrap_or_default();
         Err(refused(status, &text))
     }
 
@@ -89,10 +87,7 @@
 
 fn read<T: DeserializeOwned>(answer: &Answered) -> Result<T, EngineError> {
     if answer.status != 200 {
-        return Err(refused(
-            answer.status,
-            &String::from_utf8_lossy(&answer.body),
-        ));
+        return Err(refused(answer.status, &String::from_utf8_lossy(&answer.body)));
     }
     answer.json().map_err(EngineError::Malformed)
 }
@@ -134,14 +129,11 @@
 }
 
 fn chunks(body: Incoming) -> Chunks {
-    let lines = Lines {
-        body,
-        buffer: BytesMut::new(),
-        ended: false,
-    };
-    try_unfold(lines, |mut lines| async move {
-        Ok(lines.next().await?.map(|chunk| (chunk, lines)))
-    })
+    let lines = Lines { body, buffer: BytesMut::new(), ended: false };
+    try_unfold(
+        lines,
+        |mut lines| async move { Ok(lines.next().await?.map(|chunk| (chunk, lines))) },
+    )
     .boxed()
 }
 
@@ -174,9 +166,7 @@
     ) -> BoxFuture<'a, Result<Chunks, EngineError>> {
         async move {
             let path = format!("/v1/runs/{run}?from={from}");
-            self.open(at, request(Method::GET, at, &path, ""))
-                .await
-                .map(chunks)
+            self.open(at, request(Method::GET, at, &path, "")).await.map(chunks)
         }
         .boxed()
     }
@@ -188,10 +178,7 @@
     ) -> BoxFuture<'a, Result<(), EngineError>> {
         async move {
             let request = request(Method::DELETE, at, &format!("/v1/runs/{run}"), "");
-            call(at, request, self.limit)
-                .await
-                .map(|_| ())
-                .map_err(failed)
+            call(at, request, self.limit).await.map(|_| ()).map_err(failed)
         }
         .boxed()
     }
--- a/node/src/adapters/service.rs
+++ b/node/src/adapters/service.rs
@@ -40,9 +40,7 @@
                     .map_err(|e| ServiceError::Lost(e.to_string()))?;
                 Ok(Response::from_parts(head, body))
             };
-            timeout(limit, whole)
-                .await
-                .unwrap_or(Err(ServiceError::Timeout))
+            timeout(limit, whole).await.unwrap_or(Err(ServiceError::Timeout))
         }
         .boxed()
     }
--- a/node/src/adapters/store.rs
+++ b/node/src/adapters/store.rs
@@ -59,9 +59,8 @@
         request: hyper::Request<crate::http::Body>,
         extra: Duration,
     ) -> Result<Answered, StoreError> {
-        let answer = call(self.address, request, self.limit + extra)
-            .await
-            .map_err(|e| match e {
+        let answer =
+            call(self.address, request, self.limit + extra).await.map_err(|e| match e {
                 CallError::NotSent(..) => StoreError::Unavailable(e.to_string()),
                 CallError::Lost(..) | CallError::Timeout(_) => StoreError::Unknown(e.to_string()),
             })?;
@@ -157,9 +156,7 @@
 
     fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, StoreError>> {
         async move {
-            let body = GrantBody {
-                ttl: Millis(ttl.as_millis() as u64),
-            };
+            let body = GrantBody { ttl: Millis(ttl.as_millis() as u64) };
             let request = json_request(Method::POST, self.address, "/leases", &body);
             let answer = self.ask(request, Duration::ZERO).await?;
             let reply: GrantReply = answer.json().map_err(malformed)?;
@@ -178,12 +175,7 @@
 
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
         async move {
-            let request = request(
-                Method::DELETE,
-                self.address,
-                &format!("/leases/{lease}"),
-                "",
-            );
+            let request = request(Method::DELETE, self.address, &format!("/leases/{lease}"), "");
             lease_done(&self.ask(request, Duration::ZERO).await?)
         }
         .boxed()
--- /dev/null
+++ b/node/src/app/fleet.rs
@@ -0,0 +1,114 @@
+use {
+    lentil_core::{
+        clock::Time,
+        fleet::EngineView,
+        ids::{EngineId, ServiceId, TargetId, Zone},
+        limit::Breaker,
+        manifest::{Manifest, Role},
+    },
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+};
+
+/// Time after which a pause ends by itself, should its holder be gone.
+const PAUSE: Duration = Duration::from_secs(90);
+
+/// Engines and targets of the manifest with what is known of them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The engines, in the order that picks refer to until the next [`Fleet::follow`].
+    pub engines: Vec<EngineView>,
+    /// Targets of plain services.
+    pub targets: HashMap<(ServiceId, TargetId), TargetView>,
+    pauses: HashMap<EngineId, Pause>,
+}
+
+/// What is known of a target of a plain service.
+#[derive(Debug, Clone)]
+pub struct TargetView {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Keeps calls away while it fails.
+    pub breaker: Breaker,
+    /// Calls of this instance that run there.
+    pub open: u32,
+    /// It is leaving: no new calls.
+    pub leaving: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    number: u64,
+    on: bool,
+    since: Time,
+}
+
+impl Fleet {
+    /// Follows a manifest and keeps what is known of engines that stay.
+    pub fn follow(&mut self, manifest: &Manifest) {
+        let mut known: HashMap<EngineId, EngineView> =
+            self.engines.drain(..).map(|e| (e.id.clone(), e)).collect();
+        for (id, spec) in &manifest.engines {
+            let fresh = EngineView::new(id.clone(), spec);
+            let view = match known.remove(id).filter(|e| e.address == spec.address) {
+                None => fresh,
+                Some(old) => EngineView {
+                    zone: fresh.zone,
+                    region: fresh.region,
+                    model: fresh.model,
+                    rates: fresh.rates,
+                    ..old
+                },
+            };
+            self.engines.push(view);
+        }
+        self.follow_targets(manifest);
+    }
+
+    fn follow_targets(&mut self, manifest: &Manifest) {
+        let mut known = std::mem::take(&mut self.targets);
+        for (service, spec) in &manifest.services {
+            for (id, target) in &spec.targets {
+                let key = (service.clone(), id.clone());
+                let old = known.remove(&key).filter(|t| t.address == target.address);
+                let view = old.unwrap_or_else(|| TargetView {
+                    address: target.address,
+                    zone: target.zone.clone(),
+                    breaker: Breaker::default(),
+                    open: 0,
+                    leaving: false,
+                });
+                self.targets.insert(key, view);
+            }
+        }
+    }
+
+    /// An engine by name.
+    pub fn engine(&mut self, id: &EngineId) -> Option<&mut EngineView> {
+        self.engines.iter_mut().find(|e| e.id == *id)
+    }
+
+    /// Notes that an engine is paused for an order or in service again; true if that is news.
+    pub fn pause(&mut self, id: &EngineId, number: u64, on: bool, now: Time) -> bool {
+        let known = self.pauses.get(id);
+        if known.is_some_and(|p| p.number > number || (p.number == number && p.on == on)) {
+            return false;
+        }
+        self.pauses.insert(id.clone(), Pause { number, on, since: now });
+        true
+    }
+
+    /// Ends pauses whose holder is gone and applies the others to the engines.
+    pub fn refresh(&mut self, now: Time) {
+        self.pauses.retain(|_, p| now - p.since < PAUSE);
+        for engine in &mut self.engines {
+            engine.changing = self.pauses.get(&engine.id).is_some_and(|p| p.on);
+        }
+    }
+
+    /// Number of engines of a role, for the metrics.
+    pub fn count(&self, role: Role) -> usize {
+        self.engines.iter().filter(|e| e.role == role).count()
+    }
+}
--- /dev/null
+++ b/node/src/app/gate.rs
@@ -0,0 +1,66 @@
+use {
+    lentil_core::{
+        admit::Shares,
+        clock::Time,
+        ids::{CellId, ModelId, Tokens},
+        limit::RetryBudget,
+        plan::DemandMeter,
+    },
+    std::collections::HashMap,
+};
+
+/// Seconds that the mean of the demand reaches back.
+const SPAN: f64 = 3.0;
+/// Weight of the latest output in the mean length.
+const LATEST: f64 = 0.05;
+
+/// Tables of admission, retries and demand.
+#[derive(Debug)]
+pub struct Gate {
+    /// Use of the engines by workspaces.
+    pub shares: Shares,
+    /// Allowance of retries.
+    pub retries: RetryBudget,
+    /// Work that arrives for each cell and model.
+    pub meters: HashMap<(CellId, ModelId), DemandMeter>,
+    lengths: HashMap<ModelId, f64>,
+}
+
+impl Gate {
+    /// Tables with nothing noted yet.
+    pub fn new(retries: f64) -> Self {
+        Self {
+            shares: Shares::default(),
+            retries: RetryBudget::new(retries),
+            meters: HashMap::new(),
+            lengths: HashMap::new(),
+        }
+    }
+
+    /// Notes work that arrived for a cell's engines.
+    pub fn arrived(
+        &mut self,
+        cell: &CellId,
+        model: &ModelId,
+        prefill: Tokens,
+        decode: Tokens,
+        now: Time,
+    ) {
+        self.meters
+            .entry((cell.clone(), model.clone()))
+            .or_insert_with(|| DemandMeter::new(SPAN, now))
+            .arrived(prefill, decode, now);
+    }
+
+    /// Expected tokens of output, where the caller allows `max`.
+    pub fn expect(&self, model: &ModelId, max: Tokens) -> Tokens {
+        let mean = self.lengths.get(model).copied().unwrap_or(max.0 as f64);
+        Tokens((mean as u64).clamp(1, max.0.max(1)))
+    }
+
+    /// Notes the length of an output that has ended.
+    pub fn ended(&mut self, model: &ModelId, length: Tokens) {
+        let mean = self.lengths.entry(model.clone()).or_insert(length.0 as f64);
+        *mean += (length.0 as f64 - *mean) * LATEST;
+    }
+}
--- /dev/null
+++ b/node/src/claims/mod.rs
@@ -0,0 +1,6 @@
+//! Claims written to the store in groups.
+
+mod book;
+mod committer;
+
+pub use book::*;
--- /dev/null
+++ b/node/src/commands/generate.rs
@@ -0,0 +1,115 @@
+use {
+    super::ask::Ask,
+    crate::{
+        app::App,
+        front::{fault_event, json, Call, Shape, Usage},
+        http::{streamed, Body},
+        run::{self, Piece, Pieces, Request},
+    },
+    bytes::Bytes,
+    futures_util::{stream::unfold, StreamExt},
+    hyper::{header, Response},
+    lentil_core::{
+        error::Fault,
+        fleet::{count_tokens, prefix_blocks},
+        ids::{Fingerprint, Tokens},
+        route::Work,
+    },
+    std::{io, sync::Arc},
+};
+
+/// Runs a generation and answers it whole or streamed.
+///
+/// # Errors
+/// Any kind of the table, before the first token.
+pub async fn generate(app: Arc<App>, call: Call, shape: Shape) -> Result<Response<Body>, Fault> {
+    let ask = Ask::parse(&call.body, shape)?;
+    let request = request(&app, &call, &ask)?;
+    let (prompt, model) = (request.work.prompt, ask.model.clone());
+    let mut pieces = run::start(app, request);
+    // Nothing is answered before the first token, so that a refusal is a refusal.
+    let first = pieces.next().await?;
+    pieces.put_back(first);
+    if ask.stream {
+        return Ok(event_stream(shape, model, pieces));
+    }
+    whole(shape, &model, prompt, pieces).await
+}
+
+fn request(app: &App, call: &Call, ask: &Ask) -> Result<Request, Fault> {
+    let resolved = call.index.resolve(&call.spec, &ask.model)?;
+    let (name, class) = call.class()?;
+    let adapter = resolved.adapter.as_ref().map_or("", |a| a.as_str());
+    let parts = [
+        resolved.model.as_str().as_bytes(),
+        adapter.as_bytes(),
+        ask.prompt.as_bytes(),
+        &ask.max.to_le_bytes(),
+    ];
+    let output = app.gate().expect(&resolved.model, Tokens(u64::from(ask.max)));
+    let share = call.index.manifest.workspaces.get(&call.spec.workspace).map_or(1.0, |w| w.share);
+    Ok(Request {
+        print: Fingerprint::of(&parts),
+        caller: call.caller.clone(),
+        workspace: call.spec.workspace.clone(),
+        share,
+        class: name,
+        arrived: call.arrived,
+        max: ask.max,
+        work: Work {
+            prompt: count_tokens(&ask.prompt),
+            blocks: prefix_blocks(&ask.prompt),
+            model: resolved.model,
+            adapter: resolved.adapter,
+            output,
+            class,
+            alone: false,
+        },
+        prompt: ask.prompt.clone(),
+    })
+}
+
+async fn whole(
+    shape: Shape,
+    model: &str,
+    prompt: Tokens,
+    mut pieces: Pieces,
+) -> Result<Response<Body>, Fault> {
+    let mut text = String::new();
+    loop {
+        match pieces.next().await? {
+            Piece::Token { text: token, .. } => text.push_str(&token),
+            Piece::End { ticket, offset, reason } => {
+                let usage = Usage {
+                    prompt_tokens: prompt.0,
+                    completion_tokens: offset,
+                    total_tokens: prompt.0 + offset,
+                };
+                let answer = shape.whole(&ticket, model, text, reason.to_string(), usage);
+                return Ok(json(200, &answer));
+            }
+        }
+    }
+}
+
+/// An answer as server-sent events; a fault in its midst is its last event.
+pub fn event_stream(shape: Shape, model: String, pieces: Pieces) -> Response<Body> {
+    let events = unfold(Some(pieces), move |pieces| {
+        let model = model.clone();
+        async move {
+            let mut pieces = pieces?;
+            let event: Bytes = match pieces.next().await {
+                Err(fault) => return Some((fault_event(&fault), None)),
+                Ok(piece) => shape.event(&model, &piece),
+            };
+            let rest = (!pieces.ended()).then_some(pieces);
+            Some((event, rest))
+        }
+    });
+    let mut response = Response::new(streamed(events.map(Ok::<_, io::Error>)));
+    let headers = response.headers_mut();
+    let kind = header::HeaderValue::from_static("text/event-stream");
+    headers.insert(header::CONTENT_TYPE, kind);
+    headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-store"));
+    response
+}
--- /dev/null
+++ b/node/src/control/cell.rs
@@ -0,0 +1,234 @@
+use {
+    super::{change::Change, demand, hold::Hold, place::Seen, proof::Proofs},
+    crate::{
+        app::{App, CellHolder, Phase},
+        ports::StoreError,
+    },
+    futures_util::future::join_all,
+    lentil_core::{
+        clock::Time,
+        ids::{CellId, EngineId, ModelId},
+        manifest::{EngineSpec, ManifestIndex, Role},
+        mesh::News,
+        order::Order,
+        plan::{ChangeCost, Planner, Situation, Split},
+    },
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Instances of a region that look whether a cell has a holder.
+const CANDIDATES: usize = 2;
+/// Time between two looks at the manifest for new cells.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Runs a controller for each cell of this instance's region.
+pub async fn control(app: Arc<App>) {
+    let mut cells: BTreeSet<CellId> = BTreeSet::new();
+    while *app.phase.borrow() == Phase::Serving {
+        if let Ok(index) = app.index() {
+            let here = |e: &&EngineSpec| e.region == app.settings.region;
+            for engine in index.manifest.engines.values().filter(here) {
+                if cells.insert(engine.cell.clone()) {
+                    tokio::spawn(Controller::new(engine.cell.clone()).run(app.clone()));
+                }
+            }
+        }
+        sleep(PERIOD).await;
+    }
+}
+
+/// What one instance does for one cell, as holder or candidate.
+pub(super) struct Controller {
+    cell: CellId,
+    pub(super) changes: Vec<Change>,
+    planners: HashMap<ModelId, Planner>,
+    proofs: Proofs,
+    hold: Option<Hold>,
+}
+
+impl Controller {
+    fn new(cell: CellId) -> Self {
+        Self {
+            cell,
+            changes: Vec::new(),
+            planners: HashMap::new(),
+            proofs: Proofs::default(),
+            hold: None,
+        }
+    }
+
+    async fn run(mut self, app: Arc<App>) {
+        let period = app.settings.control.period.span();
+        while *app.phase.borrow() == Phase::Serving {
+            if let Err(error) = self.tick(&app).await {
+                log::warn!("control: cell {}: {error}", self.cell);
+            }
+            sleep(period).await;
+        }
+        if let Some(hold) = self.hold.take() {
+            hold.release(&app).await;
+        }
+    }
+
+    async fn tick(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
+        let Some(mut hold) = self.hold.take() else { return self.seek(app).await };
+        hold.renew(app).await;
+        if !hold.seat.holds(app.now()) {
+            self.lose(app);
+            return Ok(());
+        }
+        let done = self.work(app, &mut hold).await;
+        match done {
+            Err(StoreError::Conflict(_)) => {
+                hold.seat.set(None);
+                self.lose(app);
+            }
+            done => {
+                self.hold = Some(hold);
+                done?;
+            }
+        }
+        Ok(())
+    }
+
+    fn lose(&mut self, app: &App) {
+        log::warn!("control: cell {} is held no more", self.cell);
+        self.changes.clear();
+        self.planners.clear();
+        app.meter.frozen.set(0);
+    }
+
+    /// Takes the cell if it has no holder and this instance is among its first candidates.
+    async fn seek(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
+        let duty = app.view().rank_for(self.cell.as_str(), &app.settings.region);
+        if duty >= CANDIDATES {
+            return Ok(());
+        }
+        let Some(hold) = Hold::take(app, &self.cell).await? else { return Ok(()) };
+        log::info!("control: took cell {} with number {}", self.cell, hold.ledger.number);
+        let (number, address) = (hold.ledger.number, app.settings.mesh.listen);
+        let found = CellHolder { holder: app.me.clone(), address, number };
+        app.holders().heard(&self.cell, found);
+        let (cell, holder) = (self.cell.clone(), app.me.clone());
+        app.view().tell(News::Holds { cell, holder, address, number });
+        self.hold = Some(hold);
+        Ok(())
+    }
+
+    async fn work(&mut self, app: &Arc<App>, hold: &mut Hold) -> Result<(), StoreError> {
+        let Ok(index) = app.index() else { return Ok(()) };
+        let unsettled = self.settle(app, &index, hold).await?;
+        app.meter.frozen.set(unsettled.len() as i64);
+        let mut changes = std::mem::take(&mut self.changes);
+        for mut change in changes.drain(..) {
+            if change.step(app, hold).await? {
+                self.changes.push(change);
+            }
+        }
+        let seen = self.look(app, &index, &unsettled).await;
+        self.place(app, &index, hold, &seen).await?;
+        self.plan(app, &index, &seen);
+        Ok(())
+    }
+
+    /// Looks at all open orders, and names the engines whose orders stay open.
+    async fn settle(
+        &mut self,
+        app: &Arc<App>,
+        index: &ManifestIndex,
+        hold: &mut Hold,
+    ) -> Result<BTreeSet<EngineId>, StoreError> {
+        let open: Vec<_> = hold.ledger.unsettled().map(|(id, e)| (id.clone(), e.clone())).collect();
+        let mut left = BTreeSet::new();
+        for (id, entry) in open {
+            let Some(spec) = index.manifest.engines.get(&id) else { continue };
+            if !hold.settle_open(app, &mut self.proofs, &id, &entry, spec).await? {
+                left.insert(id);
+            }
+        }
+        Ok(left)
+    }
+
+    /// Reads the engines that may be given orders.
+    async fn look(
+        &self,
+        app: &App,
+        index: &ManifestIndex,
+        unsettled: &BTreeSet<EngineId>,
+    ) -> Vec<Seen> {
+        let free = |id: &EngineId| {
+            !unsettled.contains(id) && !self.changes.iter().any(|c| c.engine == *id)
+        };
+        let mine = index.manifest.engines.iter();
+        let mine = mine.filter(|(id, spec)| spec.cell == self.cell && free(id));
+        let reads = mine.map(|(id, spec)| async move {
+            let report = app.ports.engines.report(spec.address).await.ok()?;
+            Some(Seen { id: id.clone(), spec: spec.clone(), report })
+        });
+        join_all(reads).await.into_iter().flatten().collect()
+    }
+
+    /// Decides on one role change for each model.
+    fn plan(&mut self, app: &App, index: &ManifestIndex, seen: &[Seen]) {
+        for model in index.manifest.models.keys() {
+            let mine: Vec<&Seen> = seen.iter().filter(|s| s.spec.model == *model).collect();
+            let Some(first) = mine.first() else { continue };
+            let now = app.now();
+            let split = self.split(index, model, &mine);
+            let away = split.total() - mine.len();
+            let weight = index.manifest.weight;
+            let planner = self
+                .planners
+                .entry(model.clone())
+                .or_insert_with(|| Planner::new(weight, ChangeCost::default(), now));
+            planner.set_weight(weight);
+            let demand = demand::total(app, &self.cell, model);
+            let rates = &first.spec.rates;
+            let Some(role) = planner.decide(&Situation { demand, rates, split, away }, now) else {
+                continue;
+            };
+            if let Some(engine) = self.idlest(app, &mine, role.other(), now) {
+                let order = Order::Role(role);
+                let (id, spec) = (engine.id.clone(), engine.spec.clone());
+                self.changes.push(Change::begin(app, id, spec, order));
+            }
+        }
+    }
+
+    /// Engines by the role that they have or change to.
+    fn split(&self, index: &ManifestIndex, model: &ModelId, mine: &[&Seen]) -> Split {
+        let prefill = mine.iter().filter(|s| s.report.role == Role::Prefill).count();
+        let mut split = Split { prefill, decode: mine.len() - prefill };
+        for change in &self.changes {
+            let spec = index.manifest.engines.get(&change.engine);
+            if spec.is_none_or(|s| s.model != *model) {
+                continue;
+            }
+            match change.goal() {
+                Some(Role::Prefill) => split.prefill += 1,
+                Some(Role::Decode) | None => split.decode += 1,
+            }
+        }
+        split
+    }
+
+    /// The engine of a role with the least to do.
+    fn idlest<'a>(&self, app: &App, mine: &[&'a Seen], role: Role, now: Time) -> Option<&'a Seen> {
+        let mut fleet = app.fleet();
+        mine.iter()
+            .filter(|s| s.report.role == role && !s.report.changing)
+            .filter(|s| fleet.engine(&s.id).is_some_and(|e| !e.leaving))
+            .copied()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .min_by_key(|s| {
+                let load = fleet.engine(&s.id).map(|e| e.load.expected(e.prefill_rate(), now));
+                load.map(|l| (l.running + l.waiting, l.queued))
+            })
+    }
+}
--- /dev/null
+++ b/node/src/control/hold.rs
@@ -0,0 +1,168 @@
+use {
+    super::{
+        keys::{holder_key, ledger_key, HolderRecord},
+        seat::Seat,
+    },
+    crate::{
+        app::{fresh, App},
+        ports::{StoreEntry, StoreError},
+    },
+    lentil_core::{
+        ids::{CellId, LeaseId, Revision},
+        order::{Lease, Ledger},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Pause before a store write is looked at again whose answer was lost.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A cell that this instance holds, with the ledger as it stands in the store.
+pub(super) struct Hold {
+    pub cell: CellId,
+    pub seat: Arc<Seat>,
+    pub ledger: Ledger,
+    revision: Revision,
+}
+
+impl Hold {
+    /// Tries to take a cell; `None` if another holds it.
+    pub(super) async fn take(app: &App, cell: &CellId) -> Result<Option<Self>, StoreError> {
+        let store = &app.ports.store;
+        count(app, "holder");
+        if store.read(&holder_key(cell)).await?.is_some() {
+            return Ok(None);
+        }
+        let settings = &app.settings.control;
+        let sent = app.now();
+        count(app, "lease");
+        let id = store.grant(settings.lease.span()).await?;
+        if !write_holder(app, cell, id).await? {
+            // The lease lapses by itself if this fails.
+            let _ = store.revoke(id).await;
+            return Ok(None);
+        }
+        let (ttl, margin) = (settings.lease.span(), settings.margin.span());
+        let lease = Lease { id, sent, ttl, margin };
+        let seat = app.seats.seat(cell);
+        while lease.valid(app.now()) {
+            let old = read_ledger(app, cell).await?;
+            let (old, base) = old.map_or((None, Revision(0)), |(l, r)| (Some(l), r));
+            let ledger = Ledger::take(old.as_ref(), app.me.clone(), fresh("w"));
+            let mut hold = Self { cell: cell.clone(), seat: seat.clone(), ledger, revision: base };
+            seat.set(Some(lease));
+            match hold.save(app).await {
+                Ok(()) => return Ok(Some(hold)),
+                Err(StoreError::Conflict(_)) => continue,
+                Err(error) => {
+                    seat.set(None);
+                    return Err(error);
+                }
+            }
+        }
+        seat.set(None);
+        Ok(None)
+    }
+
+    /// Writes the ledger, and finds out what became of a write whose answer was lost.
+    ///
+    /// The same value is written until its fate is certain: a write that was given up could take
+    /// effect later, and show an order that was never sent.
+    pub(super) async fn save(&mut self, app: &App) -> Result<(), StoreError> {
+        self.ledger.writer = fresh("w");
+        let key = ledger_key(&self.cell);
+        let value = serde_json::to_string(&self.ledger)
+            .map_err(|e| StoreError::Unavailable(e.to_string()))?;
+        let mut doubt = false;
+        while self.seat.holds(app.now()) {
+            count(app, "ledger");
+            match app.ports.store.swap(&key, value.clone(), self.revision, None).await {
+                Ok(revision) => {
+                    self.revision = revision;
+                    return Ok(());
+                }
+                Err(StoreError::Conflict(at)) => return self.settle_conflict(app, at).await,
+                Err(StoreError::Unknown(_)) => doubt = true,
+                Err(error) if !doubt => return Err(error),
+                Err(_) => {}
+            }
+            sleep(PAUSE).await;
+        }
+        Err(StoreError::Unknown("authority ended while the ledger was written".into()))
+    }
+
+    /// A conflict is one's own write if the value there bears one's own token.
+    async fn settle_conflict(&mut self, app: &App, at: Revision) -> Result<(), StoreError> {
+        let found = read_ledger(app, &self.cell).await?;
+        match found {
+            Some((ledger, revision)) if ledger.writer == self.ledger.writer => {
+                self.revision = revision;
+                Ok(())
+            }
+            _ => Err(StoreError::Conflict(at)),
+        }
+    }
+
+    /// Renews the lease when it is due; an error ends the hold only with the lease.
+    pub(super) async fn renew(&self, app: &App) {
+        let Some(mut lease) = self.seat.lease().filter(|l| l.due(app.now())) else { return };
+        let sent = app.now();
+        count(app, "renew");
+        match app.ports.store.renew(lease.id).await {
+            Ok(()) => {
+                lease.renewed(sent);
+                // Not if it was given up meanwhile.
+                if self.seat.lease().is_some_and(|l| l.id == lease.id) {
+                    self.seat.set(Some(lease));
+                }
+            }
+            Err(StoreError::NoLease) => self.seat.set(None),
+            Err(error) => log::warn!("control: lease of cell {} not renewed: {error}", self.cell),
+        }
+    }
+
+    /// Gives the cell up, so that another takes it at once.
+    pub(super) async fn release(&self, app: &App) {
+        let Some(lease) = self.seat.lease() else { return };
+        self.seat.set(None);
+        let _none_on_its_way = self.seat.gate.lock().await;
+        count(app, "lease");
+        let _ = app.ports.store.revoke(lease.id).await;
+        log::info!("control: released cell {}", self.cell);
+    }
+}
+
+pub(super) fn count(app: &App, call: &str) {
+    app.meter.store.with_label_values(&[call]).inc();
+}
+
+async fn write_holder(app: &App, cell: &CellId, lease: LeaseId) -> Result<bool, StoreError> {
+    let record = HolderRecord { writer: fresh("w"), holder: app.me.clone() };
+    let key = holder_key(cell);
+    let value =
+        serde_json::to_string(&record).map_err(|e| StoreError::Unavailable(e.to_string()))?;
+    count(app, "holder");
+    match app.ports.store.swap(&key, value, Revision(0), Some(lease)).await {
+        Ok(_) => Ok(true),
+        Err(StoreError::Conflict(_) | StoreError::NoLease) => Ok(false),
+        Err(StoreError::Unknown(_)) => {
+            let found = app.ports.store.read(&key).await?;
+            let mine = |e: StoreEntry| {
+                serde_json::from_str::<HolderRecord>(&e.value)
+                    .is_ok_and(|r| r.writer == record.writer)
+            };
+            Ok(found.is_some_and(mine))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn read_ledger(app: &App, cell: &CellId) -> Result<Option<(Ledger, Revision)>, StoreError> {
+    let key = ledger_key(cell);
+    count(app, "ledger");
+    let Some(entry) = app.ports.store.read(&key).await? else { return Ok(None) };
+    let ledger = serde_json::from_str(&entry.value)
+        .map_err(|e| StoreError::Unavailable(format!("key {key:?}: {e}")))?;
+    Ok(Some((ledger, entry.revision)))
+}
--- /dev/null
+++ b/node/src/control/mod.rs
@@ -0,0 +1,18 @@
+//! Holds cells and orders their engines.
+
+mod cell;
+mod change;
+mod demand;
+mod hold;
+mod keys;
+mod orders;
+mod place;
+mod proof;
+mod seat;
+
+pub use {
+    cell::control,
+    demand::report_demand,
+    keys::{holder_key, ledger_key},
+    seat::{step_down, Seat, Seats},
+};
--- /dev/null
+++ b/node/src/control/orders.rs
@@ -0,0 +1,130 @@
+use {
+    super::{hold::Hold, proof::Proofs},
+    crate::{
+        app::App,
+        ports::{Command, EngineError, StoreError},
+    },
+    lentil_core::{
+        ids::{EngineId, Fence},
+        manifest::EngineSpec,
+        order::{resolve, Entry, Order, Proof, Resolution},
+    },
+    std::sync::Arc,
+};
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Given {
+    /// The engine has taken it.
+    Taken,
+    /// The engine did not take it and never will.
+    Refused,
+    /// It may yet take effect.
+    Open,
+}
+
+impl Hold {
+    /// Writes an order to the ledger, then gives it.
+    pub(super) async fn give(
+        &mut self,
+        app: &App,
+        id: &EngineId,
+        spec: &EngineSpec,
+        order: Order,
+    ) -> Result<Given, StoreError> {
+        let Ok(report) = app.ports.engines.report(spec.address).await else {
+            return Ok(Given::Refused);
+        };
+        if report.fulfils(&order) {
+            return Ok(Given::Taken);
+        }
+        let text = order.to_string();
+        let number = match self.ledger.open(&app.me, id, order.clone(), report.boot) {
+            Ok(number) => number,
+            Err(error) => {
+                log::info!("control: {error}");
+                return Ok(Given::Refused);
+            }
+        };
+        self.save(app).await?;
+        let (given, end) = match self.send(app, spec, Command { number, order }).await {
+            Ok(()) => (Given::Taken, "taken"),
+            Err(EngineError::Fenced(seen)) => {
+                self.ledger.pass(seen);
+                (Given::Refused, "fenced")
+            }
+            Err(EngineError::Refused(_) | EngineError::NotSent(_)) => (Given::Refused, "refused"),
+            Err(EngineError::NoAuthority) => (Given::Refused, "no-authority"),
+            Err(error) => {
+                log::warn!("control: order {number} to engine {id} is open: {error}");
+                (Given::Open, "open")
+            }
+        };
+        app.meter.orders.with_label_values(&[end]).inc();
+        log::info!("control: order {number} to engine {id}, {text}: {end}");
+        if given != Given::Open {
+            self.ledger.settle(id, number);
+            self.save(app).await?;
+        }
+        Ok(given)
+    }
+
+    /// Sends a command while authority holds, with the gate closed against stepping down.
+    async fn send(
+        &self,
+        app: &App,
+        spec: &EngineSpec,
+        command: Command,
+    ) -> Result<(), EngineError> {
+        let seat = self.seat.clone();
+        let _on_its_way = seat.gate.lock().await;
+        let clock = app.clock;
+        let authority = || seat.holds(clock.now());
+        app.ports.engines.order(spec.address, command, &authority).await.map(|_| ())
+    }
+
+    /// Looks at an open order; true if it was settled.
+    pub(super) async fn settle_open(
+        &mut self,
+        app: &Arc<App>,
+        proofs: &mut Proofs,
+        id: &EngineId,
+        entry: &Entry,
+        spec: &EngineSpec,
+    ) -> Result<bool, StoreError> {
+        let Ok(report) = app.ports.engines.report(spec.address).await else { return Ok(false) };
+        let proof = match spec.fenced || entry.by == app.me {
+            true => Proof::None,
+            false => {
+                let quiet = app.settings.control.order.span();
+                proofs.seek(app, &self.cell, &entry.by, quiet).await
+            }
+        };
+        match resolve(entry, spec.fenced, &report, &app.me, proof) {
+            Resolution::Settled => {
+                self.ledger.settle(id, entry.number);
+                self.save(app).await?;
+                log::info!("control: order {} to engine {id} is settled", entry.number);
+                Ok(true)
+            }
+            Resolution::Raise => {
+                let number = self.raise(report.fence);
+                self.save(app).await?;
+                let command = Command { number, order: Order::Hold };
+                if let Err(error) = self.send(app, spec, command).await {
+                    log::info!("control: engine {id} was not told to hold: {error}");
+                }
+                Ok(false)
+            }
+            Resolution::Frozen(why) => {
+                log::debug!("control: engine {id} gets no orders: {why}");
+                Ok(false)
+            }
+        }
+    }
+
+    fn raise(&mut self, seen: Fence) -> Fence {
+        self.ledger.pass(seen);
+        self.ledger.raise()
+    }
+}
--- /dev/null
+++ b/node/src/daemon/args.rs
@@ -0,0 +1,92 @@
+use {
+    super::serve,
+    crate::adapters::{HttpEngine, HttpList, HttpService, HttpStore, HttpWeights},
+    anyhow::{bail, Context, Result},
+    argh::FromArgs,
+    lentil_core::settings::Settings,
+    simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode},
+    std::{fs, path::Path, path::PathBuf, sync::Arc},
+};
+
+/// Serves language-model requests on one entry instance.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// settings of this instance, a JSON file
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// only check the settings
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Exit code for settings that can't be used.
+pub const BAD_SETTINGS: i32 = 2;
+
+/// Reads settings from a file.
+///
+/// # Errors
+/// Each fault with its JSON path, one a line.
+pub fn read_settings(path: &Path) -> Result<Settings> {
+    let text =
+        fs::read_to_string(path).with_context(|| format!("settings {:?}", path.display()))?;
+    match Settings::parse(&text) {
+        Ok(settings) => Ok(settings),
+        Err(problems) => {
+            let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            bail!("settings {:?}:\n{}", path.display(), lines.join("\n"))
+        }
+    }
+}
+
+/// Adapters to the systems that the settings name.
+pub fn ports(settings: &Settings) -> crate::app::Ports {
+    let platform = &settings.platform;
+    let limit = platform.timeout.span();
+    let weights = platform.weights.map(|a| {
+        let store: Arc<dyn crate::ports::WeightStore> = Arc::new(HttpWeights::new(a, limit));
+        store
+    });
+    crate::app::Ports {
+        store: Arc::new(HttpStore::new(platform.store, limit)),
+        list: Arc::new(HttpList::new(platform.list, limit)),
+        weights,
+        engines: Arc::new(HttpEngine::new(limit, settings.control.order.span())),
+        services: Arc::new(HttpService),
+    }
+}
+
+fn start_log(settings: &Settings) -> Result<()> {
+    let level = settings.log.parse().unwrap_or(LevelFilter::Info);
+    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
+    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never)?;
+    Ok(())
+}
+
+/// The whole program: reads settings, serves, and gives the exit code.
+pub fn run(args: &Args) -> i32 {
+    let settings = match read_settings(&args.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("lentilgrade: {error:#}");
+            return BAD_SETTINGS;
+        }
+    };
+    if args.check {
+        println!("settings are good");
+        return 0;
+    }
+    match serve_settings(settings) {
+        Ok(()) => 0,
+        Err(error) => {
+            log::error!("daemon: {error:#}");
+            1
+        }
+    }
+}
+
+fn serve_settings(settings: Settings) -> Result<()> {
+    start_log(&settings)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let ports = ports(&settings);
+    runtime.block_on(serve(settings, ports))
+}
--- /dev/null
+++ b/node/src/daemon/serve.rs
@@ -0,0 +1,103 @@
+use {
+    crate::{
+        app::{App, Phase, Ports},
+        control, follow,
+        front::Front,
+        http, mesh,
+    },
+    anyhow::{Context, Result},
+    lentil_core::settings::Settings,
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        signal::unix::{signal, SignalKind},
+        sync::watch,
+        time::sleep,
+    },
+};
+
+/// Time for the platform's balancer to see that the instance is not ready any more.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Sockets of an instance, bound before anything runs.
+pub struct Sockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For questions of other instances.
+    pub requests: TcpListener,
+    /// For datagrams of other instances.
+    pub datagrams: UdpSocket,
+}
+
+impl Sockets {
+    /// Binds what the settings name, and writes chosen ports back to them.
+    ///
+    /// # Errors
+    /// Which address could not be bound.
+    pub async fn bind(settings: &mut Settings) -> Result<Self> {
+        let named = |what: &str, at| format!("{what} address {at} can't be bound");
+        let callers = TcpListener::bind(settings.listen)
+            .await
+            .with_context(|| named("callers'", settings.listen))?;
+        settings.listen = callers.local_addr()?;
+        let requests = TcpListener::bind(settings.mesh.listen)
+            .await
+            .with_context(|| named("mesh", settings.mesh.listen))?;
+        settings.mesh.listen = requests.local_addr()?;
+        let datagrams = UdpSocket::bind(settings.mesh.listen)
+            .await
+            .with_context(|| named("mesh", settings.mesh.listen))?;
+        Ok(Self { callers, requests, datagrams })
+    }
+}
+
+/// Serves until the process is told to stop by SIGTERM or SIGINT.
+///
+/// # Errors
+/// What kept the instance from starting.
+pub async fn serve(mut settings: Settings, ports: Ports) -> Result<()> {
+    let sockets = Sockets::bind(&mut settings).await?;
+    let app = Arc::new(App::new(settings, ports));
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let stop = async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    };
+    run(app, sockets, stop).await;
+    Ok(())
+}
+
+/// Runs an instance until `stop`, then lets its answers end.
+pub async fn run(app: Arc<App>, sockets: Sockets, stop: impl std::future::Future<Output = ()>) {
+    let datagrams = Arc::new(sockets.datagrams);
+    // Set once, here.
+    let _ = app.socket.set(datagrams.clone());
+    let (stop_front, stopped) = watch::channel(false);
+    let drain = app.settings.limits.drain.span();
+    let front = http::serve(sockets.callers, Front::new(app.clone()), stopped, drain);
+    let front = tokio::spawn(front);
+    let tasks = [
+        tokio::spawn(mesh::listen_datagrams(app.clone(), datagrams)),
+        tokio::spawn(mesh::listen_requests(app.clone(), sockets.requests)),
+        tokio::spawn(mesh::beat(app.clone())),
+        tokio::spawn(follow::follow_store(app.clone())),
+        tokio::spawn(follow::follow_list(app.clone())),
+        tokio::spawn(follow::follow_engines(app.clone())),
+        tokio::spawn(control::report_demand(app.clone())),
+        tokio::spawn(control::control(app.clone())),
+    ];
+    log::info!("daemon: instance {} serves on {}", app.me, app.settings.listen);
+    stop.await;
+    log::info!("daemon: stopping");
+    app.phase.send_replace(Phase::Leaving);
+    sleep(LINGER).await;
+    app.phase.send_replace(Phase::Draining);
+    stop_front.send_replace(true);
+    let _ = front.await;
+    mesh::farewell(&app).await;
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    log::info!("daemon: stopped");
+}
--- /dev/null
+++ b/node/src/follow/list.rs
@@ -0,0 +1,82 @@
+use {
+    crate::{
+        app::App,
+        mesh,
+        ports::{ListKind, ListState, Listed},
+    },
+    lentil_core::{
+        ids::{EngineId, Incarnation, InstanceId},
+        mesh::News,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Time between two reads of the list; a leaving target is to be heard of within 3 s.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Follows the platform's list: entry instances are greeted, leaving targets get no new work.
+pub async fn follow_list(app: Arc<App>) {
+    let mut version = 0;
+    loop {
+        match app.ports.list.changes(version).await {
+            Err(error) => log::debug!("list: {error}"),
+            Ok(changes) => {
+                version = changes.version;
+                for listed in &changes.changed {
+                    take(&app, listed).await;
+                }
+            }
+        }
+        sleep(PERIOD).await;
+    }
+}
+
+async fn take(app: &Arc<App>, listed: &Listed) {
+    match listed.kind {
+        ListKind::Entry => entry(app, listed).await,
+        ListKind::Engine => engine(app, listed),
+        ListKind::Target => target(app, listed),
+    }
+}
+
+async fn entry(app: &Arc<App>, listed: &Listed) {
+    let Ok(id) = listed.id.parse::<InstanceId>() else { return };
+    if id == app.me.instance {
+        return;
+    }
+    match listed.state {
+        ListState::Gone => {
+            app.holders().gone.insert(id);
+        }
+        ListState::Live | ListState::Leaving => {
+            app.holders().gone.remove(&id);
+            mesh::greet(app, listed.address).await;
+        }
+    }
+}
+
+fn engine(app: &App, listed: &Listed) {
+    let Ok(id) = listed.id.parse::<EngineId>() else { return };
+    let leaving = listed.state != ListState::Live;
+    let mut boot = Incarnation(0);
+    let mut news = false;
+    if let Some(engine) = app.fleet().engine(&id) {
+        news = leaving && !engine.leaving;
+        engine.leaving = leaving;
+        boot = engine.boot;
+    }
+    if news {
+        log::info!("list: engine {id} is leaving");
+        app.view().tell(News::Leaving { engine: id, boot });
+    }
+}
+
+fn target(app: &App, listed: &Listed) {
+    let leaving = listed.state != ListState::Live;
+    for ((_, id), target) in &mut app.fleet().targets {
+        if id.as_str() == listed.id {
+            target.leaving = leaving;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/follow/manifest.rs
@@ -0,0 +1,112 @@
+use {
+    crate::{
+        app::App,
+        mesh,
+        ports::{StoreEntry, StoreError},
+    },
+    lentil_core::{
+        ids::Revision,
+        manifest::{patch, Edit, ManifestRecord},
+        mesh::{Message, Pulled},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Key of the manifest in the store.
+pub const MANIFEST: &str = "manifest";
+/// Instances of a region that watch the store; the others hear from them.
+const WATCHERS: usize = 2;
+/// Longest wait of one watch.
+const WAIT: Duration = Duration::from_secs(5);
+/// Pause after a failed call, and between looks at whether this instance should watch.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Watches the manifest in the store while this instance is one of its region's watchers, or has
+/// no manifest at all.
+pub async fn follow_store(app: Arc<App>) {
+    loop {
+        let duty = app.view().rank_for(MANIFEST, &app.settings.region) < WATCHERS;
+        if !duty && app.revision().0 > 0 {
+            sleep(PAUSE).await;
+            continue;
+        }
+        let calls = app.meter.store.with_label_values(&["watch"]);
+        calls.inc();
+        match app.ports.store.watch(MANIFEST, app.revision(), WAIT).await {
+            Ok(Some(entry)) => take(&app, &entry),
+            Ok(None) => sleep(PAUSE).await,
+            Err(error) => {
+                log::debug!("config: watch failed: {error}");
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take(app: &App, entry: &StoreEntry) {
+    if entry.revision <= app.revision() {
+        return;
+    }
+    match serde_json::from_str::<ManifestRecord>(&entry.value) {
+        Err(error) => log::error!("config: manifest {} can't be read: {error}", entry.revision),
+        Ok(record) => put_in_force(app, entry.revision, record, "store"),
+    }
+}
+
+fn put_in_force(app: &App, revision: Revision, record: ManifestRecord, source: &str) {
+    let problems = record.manifest.check();
+    if let Some(problem) = problems.first() {
+        log::error!("config: manifest {revision} is refused: {problem}");
+        return;
+    }
+    if app.enforce(revision, record) {
+        log::info!("config: manifest {revision} is in force, from {source}");
+    }
+}
+
+/// Pulls the manifest from an instance that has a newer one.
+pub async fn pull(app: &Arc<App>, from: SocketAddr) {
+    let have = app.revision();
+    let answer = mesh::ask(app, from, None, Message::Pull { have }).await;
+    match answer {
+        Ok(Message::Pulled(Pulled::Whole { revision, record })) => {
+            put_in_force(app, revision, *record, "mesh");
+        }
+        Ok(Message::Pulled(Pulled::Edits { revision, edits })) => {
+            apply(app, have, revision, edits);
+        }
+        Ok(_) => {}
+        Err(error) => log::debug!("config: pull from {from} failed: {error}"),
+    }
+}
+
+fn apply(app: &App, have: Revision, revision: Revision, edits: Vec<Edit>) {
+    let Some(force) = app.in_force().filter(|f| f.index.revision == have) else { return };
+    let mut record = (*force.record).clone();
+    for edit in edits {
+        match patch(&record.manifest, &edit.changes) {
+            Ok(manifest) => record.manifest = manifest,
+            Err(error) => return log::warn!("config: edits up to {revision} don't fit: {error}"),
+        }
+        record.writer = edit.writer.clone();
+        record.recent.push_back(edit);
+    }
+    while record.recent.len() > lentil_core::manifest::MAX_RECENT {
+        record.recent.pop_front();
+    }
+    put_in_force(app, revision, record, "mesh");
+}
+
+/// Reads the manifest once, for tools.
+///
+/// # Errors
+/// [`StoreError`].
+pub async fn read_manifest(
+    store: &dyn crate::ports::ConfigStore,
+) -> Result<Option<(Revision, ManifestRecord)>, StoreError> {
+    let Some(entry) = store.read(MANIFEST).await? else { return Ok(None) };
+    let record = serde_json::from_str(&entry.value)
+        .map_err(|e| StoreError::Unavailable(format!("the manifest can't be read: {e}")))?;
+    Ok(Some((entry.revision, record)))
+}
--- /dev/null
+++ b/node/src/front/route.rs
@@ -0,0 +1,115 @@
+use {
+    super::{refuse, Call, Shape},
+    crate::{
+        app::{App, Phase},
+        commands,
+        http::Body,
+        queries,
+    },
+    futures_util::future::BoxFuture,
+    hyper::{body::Incoming, Method, Request, Response},
+    lentil_core::error::{ErrorKind, Fault},
+    std::{
+        convert::Infallible,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+    tower::{limit::ConcurrencyLimitLayer, load_shed::LoadShedLayer, Service, ServiceBuilder},
+};
+
+/// The innermost service: finds out what a request asks for.
+#[derive(Clone)]
+struct Routes {
+    app: Arc<App>,
+}
+
+impl Service<Request<Incoming>> for Routes {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Response<Body>, Infallible>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let app = self.app.clone();
+        Box::pin(async move {
+            let answer = dispatch(app, request).await;
+            Ok(answer.unwrap_or_else(|fault| refuse(&fault)))
+        })
+    }
+}
+
+/// Sheds load beyond the settings' limit; the probes are served before this.
+#[derive(Clone)]
+pub struct Front {
+    app: Arc<App>,
+    inner: tower::util::BoxCloneService<Request<Incoming>, Response<Body>, tower::BoxError>,
+}
+
+impl Front {
+    /// The callers' side of an instance.
+    pub fn new(app: Arc<App>) -> Self {
+        let inner = ServiceBuilder::new()
+            .layer(LoadShedLayer::new())
+            .layer(ConcurrencyLimitLayer::new(app.settings.limits.open))
+            .service(Routes { app: app.clone() });
+        Self { app, inner: tower::util::BoxCloneService::new(inner) }
+    }
+}
+
+impl Service<Request<Incoming>> for Front {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Response<Body>, Infallible>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        // Load shedding is always ready; it answers for the limit.
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        if let Some(answer) = queries::probe(&self.app, request.uri().path()) {
+            return Box::pin(async { Ok(answer) });
+        }
+        let mut inner = self.inner.clone();
+        Box::pin(async move {
+            // Polling is what takes a place under the limit.
+            let ready = std::future::poll_fn(|cx| inner.poll_ready(cx)).await;
+            let answer = match ready {
+                Ok(()) => inner.call(request).await,
+                Err(e) => Err(e),
+            };
+            Ok(answer.unwrap_or_else(|_| {
+                refuse(&Fault::new(ErrorKind::NoCapacity, "too many requests are in work"))
+            }))
+        })
+    }
+}
+
+async fn dispatch(app: Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
+    if *app.phase.borrow() == Phase::Draining {
+        return Err(Fault::new(ErrorKind::Stopping, "this instance stops"));
+    }
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let call = Call::read(&app, request).await?;
+    if let Some(rest) = path.strip_prefix("/services/") {
+        return commands::call_service(app, call, rest).await;
+    }
+    if let Some(ticket) = path.strip_prefix("/v1/streams/") {
+        if method == Method::GET {
+            return queries::resume_stream(app, call, ticket).await;
+        }
+    }
+    match (method, path.as_str()) {
+        (Method::POST, "/v1/chat/completions") => commands::generate(app, call, Shape::Chat).await,
+        (Method::POST, "/v1/completions") => commands::generate(app, call, Shape::Text).await,
+        (Method::GET, "/v1/models") => Ok(queries::models(&call)),
+        (method, path) => {
+            let text = format!("{method} {path:?} is not served here");
+            Err(Fault::new(ErrorKind::NoRoute, text))
+        }
+    }
+}
--- a/node/src/http/body.rs
+++ b/node/src/http/body.rs
@@ -13,9 +13,7 @@
 
 /// A body that is there as a whole.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A body that is sent piece by piece.
--- a/node/src/http/client.rs
+++ b/node/src/http/client.rs
@@ -58,21 +58,14 @@
             .await
             .map_err(|_| not_sent("timed out".into()))?
             .map_err(|e| not_sent(e.to_string()))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|e| not_sent(e.to_string()))?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| not_sent(e.to_string()))?;
+        stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
+        let (sender, driver) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
         let task = tokio::spawn(async move {
             // The sender sees the same error.
             let _ = driver.await;
         });
-        Ok(Self {
-            address,
-            sender,
-            task,
-        })
+        Ok(Self { address, sender, task })
     }
 
     /// Sends the request and waits at most `limit` for the head of the answer.
@@ -139,10 +132,7 @@
     if let Ok(host) = address.to_string().parse() {
         headers.insert(header::HOST, host);
     }
-    headers.insert(
-        header::CONTENT_TYPE,
-        header::HeaderValue::from_static("application/json"),
-    );
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     request
 }
 
@@ -164,7 +154,5 @@
             .map_err(|e| CallError::Lost(address, e.to_string()))?;
         Ok(Answered { status, body })
     };
-    timeout(limit, whole)
-        .await
-        .map_err(|_| CallError::Timeout(address))?
+    timeout(limit, whole).await.map_err(|_| CallError::Timeout(address))?
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,5 +2,16 @@
 //! decisions of `lentil_core`.
 
 pub mod adapters;
+pub mod app;
+pub mod claims;
+pub mod commands;
+pub mod control;
+pub mod daemon;
+pub mod follow;
+pub mod front;
 pub mod http;
+pub mod mesh;
+pub mod meter;
 pub mod ports;
+pub mod queries;
+pub mod run;
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,6 @@
+//! Daemon of one entry instance.
+
+fn main() {
+    let args: lentilgrade::daemon::Args = argh::from_env();
+    std::process::exit(lentilgrade::daemon::run(&args));
+}
--- /dev/null
+++ b/node/src/mesh/datagram.rs
@@ -0,0 +1,81 @@
+use {
+    super::handle,
+    crate::app::App,
+    lentil_core::{
+        ids::InstanceId,
+        mesh::{Beat, MemberState, Message, News, MAX_DATAGRAM},
+    },
+    std::{net::SocketAddr, sync::Arc},
+    tokio::{net::UdpSocket, time::sleep},
+};
+
+/// Members beaten in one period.
+const BEATS: usize = 2;
+/// Members that hear a farewell directly.
+const FAREWELLS: usize = 8;
+/// Pieces of news in one beat; with more a beat may not fit a datagram.
+const NEWS: usize = 6;
+
+/// Beats other members for ever.
+pub async fn beat(app: Arc<App>) {
+    loop {
+        let now = app.now();
+        let members = app.view().beat(BEATS, now);
+        for member in members {
+            send_beat(&app, member.address, Some(member.id), true).await;
+        }
+        sleep(app.settings.mesh.beat.span()).await;
+    }
+}
+
+/// Beats an instance that only the platform's list knows.
+pub async fn greet(app: &App, address: SocketAddr) {
+    send_beat(app, address, None, true).await;
+}
+
+/// Tells some members that this instance has stopped.
+pub async fn farewell(app: &App) {
+    let now = app.now();
+    let (me, members) = {
+        let mut view = app.view();
+        let me = view.me().clone();
+        view.tell(News::Member { info: me.clone(), state: MemberState::Left });
+        (me, view.beat(FAREWELLS, now))
+    };
+    for member in members {
+        let news = vec![News::Member { info: me.clone(), state: MemberState::Left }];
+        let beat = Beat { me: me.clone(), reply: false, revision: app.revision(), news };
+        send(app, member.address, Some(member.id), Message::Beat(beat)).await;
+    }
+}
+
+pub(super) async fn send_beat(app: &App, address: SocketAddr, to: Option<InstanceId>, reply: bool) {
+    let (me, news) = {
+        let mut view = app.view();
+        (view.me().clone(), view.news(NEWS))
+    };
+    let beat = Beat { me, reply, revision: app.revision(), news };
+    send(app, address, to, Message::Beat(beat)).await;
+}
+
+/// Sends one datagram; one that can't be sent is lost like any other.
+pub(crate) async fn send(app: &App, address: SocketAddr, to: Option<InstanceId>, body: Message) {
+    let Ok(frame) = app.post.seal(app, to, body, MAX_DATAGRAM) else {
+        return log::warn!("mesh: a message for {address} does not fit a datagram");
+    };
+    if let Some(socket) = app.socket.get() {
+        let _ = socket.send_to(&frame, address).await;
+    }
+}
+
+/// Takes in datagrams for ever.
+pub async fn listen_datagrams(app: Arc<App>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM + 1];
+    loop {
+        let Ok((length, address)) = socket.recv_from(&mut buffer).await else { continue };
+        match app.post.open(&app, &buffer[..length], MAX_DATAGRAM) {
+            Ok(envelope) => handle::datagram(&app, address, envelope).await,
+            Err(error) => log::debug!("mesh: datagram from {address} refused: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/mesh/handle.rs
@@ -0,0 +1,101 @@
+use {
+    super::datagram::send_beat,
+    crate::{
+        app::{App, CellHolder},
+        control, follow,
+    },
+    lentil_core::{
+        ids::Revision,
+        mesh::{Beat, Envelope, Message, News, Pulled},
+    },
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Takes in what a datagram says.
+pub(super) async fn datagram(app: &Arc<App>, address: SocketAddr, envelope: Envelope) {
+    match envelope.body {
+        Message::Beat(beat) => {
+            let reply = beat.reply.then(|| beat.me.id.clone());
+            take_beat(app, beat);
+            if let Some(id) = reply {
+                send_beat(app, address, Some(id), false).await;
+            }
+        }
+        Message::Demand(notes) => {
+            let now = app.now();
+            let mut holders = app.holders();
+            for note in notes {
+                holders.noted(&envelope.from.instance, note, now);
+            }
+        }
+        // The rest comes by connection.
+        _ => {}
+    }
+}
+
+fn take_beat(app: &Arc<App>, beat: Beat) {
+    let now = app.now();
+    app.view().heard(&beat.me, now);
+    app.heard_revision(beat.revision);
+    for news in beat.news {
+        take_news(app, news);
+    }
+    if beat.revision > app.revision() {
+        let (app, from) = (app.clone(), beat.me.address);
+        tokio::spawn(async move { follow::pull(&app, from).await });
+    }
+}
+
+fn take_news(app: &App, news: News) {
+    let now = app.now();
+    let fresh = match &news {
+        News::Member { info, state } => {
+            // The view passes on what is new itself.
+            app.view().learn(info, *state, now);
+            false
+        }
+        News::Crashed { print, crash } => app.quarantine().crashed(*print, crash.clone(), now),
+        News::Leaving { engine, boot } => {
+            let mut fleet = app.fleet();
+            let known = fleet.engine(engine).filter(|e| !e.leaving && e.boot == *boot);
+            known.map(|e| e.leaving = true).is_some()
+        }
+        News::Paused { engine, number, on } => app.fleet().pause(engine, *number, *on, now),
+        News::Holds { cell, holder, address, number } => {
+            let found = CellHolder { holder: holder.clone(), address: *address, number: *number };
+            app.holders().heard(cell, found)
+        }
+    };
+    if fresh {
+        app.view().tell(news);
+    }
+}
+
+/// Answers what was asked by connection.
+pub(super) async fn request(app: &Arc<App>, envelope: Envelope) -> Message {
+    match envelope.body {
+        Message::Pull { have } => Message::Pulled(pulled(app, have)),
+        Message::StepDown { cell, holder } => {
+            match holder == app.me && control::step_down(app, &cell).await {
+                true => Message::SteppedDown,
+                false => Message::Refused,
+            }
+        }
+        _ => Message::Refused,
+    }
+}
+
+fn pulled(app: &App, have: Revision) -> Pulled {
+    let Some(force) = app.in_force().filter(|f| f.index.revision > have) else {
+        return Pulled::Same;
+    };
+    let revision = force.index.revision;
+    let recent = &force.record.recent;
+    match recent.iter().position(|e| e.base == have && have.0 > 0) {
+        Some(from) => {
+            let edits = recent.iter().skip(from).cloned().collect();
+            Pulled::Edits { revision, edits }
+        }
+        None => Pulled::Whole { revision, record: Box::new((*force.record).clone()) },
+    }
+}
--- /dev/null
+++ b/node/src/mesh/post.rs
@@ -0,0 +1,73 @@
+use {
+    crate::app::App,
+    lentil_core::{
+        ids::InstanceId,
+        mesh::{open, seal, Envelope, FrameError, Message, ReplayWindow},
+    },
+    std::{
+        collections::HashMap,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Mutex, PoisonError,
+        },
+    },
+};
+
+/// Senders whose windows are kept at most.
+const MAX_SENDERS: usize = 4_096;
+
+/// Seals what goes out and checks what comes in.
+#[derive(Debug, Default)]
+pub struct Post {
+    number: AtomicU64,
+    windows: Mutex<HashMap<InstanceId, ReplayWindow>>,
+}
+
+impl Post {
+    /// Seals a message from this instance.
+    ///
+    /// # Errors
+    /// [`FrameError::Large`] if it is over `limit` bytes.
+    pub fn seal(
+        &self,
+        app: &App,
+        to: Option<InstanceId>,
+        body: Message,
+        limit: usize,
+    ) -> Result<Vec<u8>, FrameError> {
+        let number = self.number.fetch_add(1, Ordering::Relaxed) + 1;
+        let envelope = Envelope { from: app.me.clone(), to, number, body };
+        let frame = seal(&envelope, app.settings.mesh.key.as_bytes(), limit)?;
+        app.meter.mesh.inc_by(frame.len() as u64);
+        Ok(frame)
+    }
+
+    /// Opens a frame that arrived; one that is refused is counted and has no other effect.
+    ///
+    /// # Errors
+    /// [`FrameError`].
+    pub fn open(&self, app: &App, bytes: &[u8], limit: usize) -> Result<Envelope, FrameError> {
+        let checked = self.check(app, bytes, limit);
+        if let Err(error) = &checked {
+            app.meter.refused.with_label_values(&[error.label()]).inc();
+        }
+        checked
+    }
+
+    fn check(&self, app: &App, bytes: &[u8], limit: usize) -> Result<Envelope, FrameError> {
+        let envelope = open(bytes, app.settings.mesh.key.as_bytes(), limit)?;
+        if envelope.to.as_ref().is_some_and(|to| *to != app.me.instance) {
+            return Err(FrameError::Misdirected);
+        }
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let from = &envelope.from;
+        if windows.len() >= MAX_SENDERS && !windows.contains_key(&from.instance) {
+            windows.clear();
+        }
+        let window = windows.entry(from.instance.clone()).or_default();
+        match window.pass(from.start, envelope.number) {
+            true => Ok(envelope),
+            false => Err(FrameError::Replay),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/meter/metrics.rs
@@ -0,0 +1,130 @@
+use {
+    prometheus::{
+        Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+        Opts, Registry, TextEncoder,
+    },
+    std::time::Duration,
+};
+
+/// Bounds in seconds; the targets of 0.078 and 0.48 s are among them.
+const SECONDS: [f64; 12] = [0.005, 0.02, 0.05, 0.078, 0.12, 0.24, 0.48, 1.0, 2.0, 5.0, 15.0, 60.0];
+
+/// Metrics of one instance; docs/INTERFACES.md lists them.
+pub struct Meter {
+    registry: Registry,
+    /// Requests by service, class and how they ended.
+    pub requests: IntCounterVec,
+    /// Requests by service, class and whether they met their targets; `spent` names what did not.
+    pub targets: IntCounterVec,
+    /// Time to the first token by class.
+    pub first: HistogramVec,
+    /// Mean time between tokens by class.
+    pub between: HistogramVec,
+    /// Requests begun on a target another time.
+    pub retries: IntCounter,
+    /// Orders by what became of them.
+    pub orders: IntCounterVec,
+    /// Role changes that were carried out.
+    pub changes: IntCounter,
+    /// Engines frozen for want of proof.
+    pub frozen: IntGauge,
+    /// Engines in each role, as seen here.
+    pub roles: IntGaugeVec,
+    /// Frames from other instances that were refused, by reason.
+    pub refused: IntCounterVec,
+    /// Bytes sent over the mesh.
+    pub mesh: IntCounter,
+    /// Calls to the key-value service, by kind.
+    pub store: IntCounterVec,
+    /// Claims by what became of them.
+    pub claims: IntCounterVec,
+    /// Revision of the manifest in force.
+    pub revision: IntGauge,
+    /// Fingerprints that crashed targets.
+    pub suspects: IntGauge,
+}
+
+impl Default for Meter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn register<C: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    made: prometheus::Result<C>,
+) -> C {
+    let collector = made.expect("metric names are valid");
+    registry.register(Box::new(collector.clone())).expect("metric names are distinct");
+    collector
+}
+
+impl Meter {
+    /// Metrics that all stand at zero.
+    ///
+    /// # Panics
+    /// Never: the names are fixed and tested.
+    pub fn new() -> Self {
+        let r = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            register(&r, IntCounterVec::new(Opts::new(name, help), labels))
+        };
+        let counter = |name: &str, help: &str| register(&r, IntCounter::new(name, help));
+        let gauge = |name: &str, help: &str| register(&r, IntGauge::new(name, help));
+        let times = |name: &str, help: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            register(&r, HistogramVec::new(opts, &["class"]))
+        };
+        Self {
+            requests: counters(
+                "lentil_requests_total",
+                "Requests by how they ended",
+                &["service", "class", "end"],
+            ),
+            targets: counters(
+                "lentil_targets_total",
+                "Requests by whether they met the targets of their class",
+                &["service", "class", "good", "spent"],
+            ),
+            first: times("lentil_first_token_seconds", "Time to the first token"),
+            between: times("lentil_between_tokens_seconds", "Mean time between tokens"),
+            retries: counter("lentil_retries_total", "Requests begun another time"),
+            orders: counters("lentil_orders_total", "Orders to engines", &["end"]),
+            changes: counter("lentil_role_changes_total", "Role changes carried out"),
+            frozen: gauge("lentil_frozen_engines", "Engines that are given no orders"),
+            roles: register(
+                &r,
+                IntGaugeVec::new(Opts::new("lentil_engines", "Engines by role"), &["role"]),
+            ),
+            refused: counters("lentil_mesh_refused_total", "Refused frames", &["reason"]),
+            mesh: counter("lentil_mesh_sent_bytes_total", "Bytes sent to other instances"),
+            store: counters("lentil_store_calls_total", "Calls to the store", &["call"]),
+            claims: counters("lentil_claims_total", "Claims of run-once requests", &["end"]),
+            revision: gauge("lentil_manifest_revision", "Revision of the manifest in force"),
+            suspects: gauge("lentil_suspects", "Fingerprints that crashed targets"),
+            registry: r,
+        }
+    }
+
+    /// Counts how a request ended and whether it met its targets.
+    pub fn ended(&self, service: &str, class: &str, end: &str, spent: Option<&str>) {
+        self.requests.with_label_values(&[service, class, end]).inc();
+        let good = if spent.is_none() { "yes" } else { "no" };
+        let labels = [service, class, good, spent.unwrap_or("")];
+        self.targets.with_label_values(&labels).inc();
+    }
+
+    /// Notes the times of an answer.
+    pub fn timed(&self, class: &str, first: Duration, between: Duration) {
+        self.first.with_label_values(&[class]).observe(first.as_secs_f64());
+        self.between.with_label_values(&[class]).observe(between.as_secs_f64());
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding into memory fails only for metrics without values, which are left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/node/src/meter/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics of one instance.
+
+mod metrics;
+
+pub use metrics::*;
--- /dev/null
+++ b/node/src/queries/models.rs
@@ -0,0 +1,29 @@
+use {
+    crate::{
+        front::{json, Call},
+        http::Body,
+    },
+    hyper::Response,
+    serde::Serialize,
+};
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelEntry>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry {
+    id: String,
+    object: &'static str,
+    owned_by: String,
+}
+
+/// Names under which the caller can ask for models.
+pub fn models(call: &Call) -> Response<Body> {
+    let owner = call.index.manifest.deployment.clone();
+    let entry = |id| ModelEntry { id, object: "model", owned_by: owner.clone() };
+    let data = call.index.names(&call.spec).into_iter().map(entry).collect();
+    json(200, &ModelList { object: "list", data })
+}
--- /dev/null
+++ b/node/src/queries/probe.rs
@@ -0,0 +1,31 @@
+use {
+    super::status,
+    crate::{
+        app::App,
+        front::{json, text},
+        http::Body,
+    },
+    hyper::Response,
+    lentil_core::manifest::Role,
+};
+
+/// Answers what the platform and operators ask; `None` for all other paths.
+pub fn probe(app: &App, path: &str) -> Option<Response<Body>> {
+    match path {
+        "/livez" => Some(text(200, "live\n")),
+        "/readyz" if app.ready() => Some(text(200, "ready\n")),
+        "/readyz" => Some(text(503, "not ready\n")),
+        "/metrics" => Some(metrics(app)),
+        "/status" => Some(json(200, &status(app))),
+        _ => None,
+    }
+}
+
+fn metrics(app: &App) -> Response<Body> {
+    for role in [Role::Prefill, Role::Decode] {
+        let count = app.fleet().count(role) as i64;
+        app.meter.roles.with_label_values(&[&role.to_string()]).set(count);
+    }
+    app.meter.suspects.set(app.quarantine().len() as i64);
+    text(200, app.meter.text())
+}
--- /dev/null
+++ b/node/src/queries/stream.rs
@@ -0,0 +1,41 @@
+use {
+    crate::{
+        app::App,
+        commands::event_stream,
+        front::{Call, Shape},
+        http::Body,
+        run,
+    },
+    hyper::Response,
+    lentil_core::{
+        error::{ErrorKind, Fault},
+        stream::Ticket,
+    },
+    std::sync::Arc,
+};
+
+/// Streams the rest of an answer that another connection, perhaps to another instance, began.
+///
+/// # Errors
+/// [`ErrorKind::StreamGone`] for a stream of another caller as for one that is no more, so that
+/// nothing is learned of others' streams.
+pub async fn resume_stream(app: Arc<App>, call: Call, text: &str) -> Result<Response<Body>, Fault> {
+    let gone = || Fault::new(ErrorKind::StreamGone, "the stream can't be resumed");
+    let ticket = Ticket::open(text, app.settings.mesh.key.as_bytes()).map_err(|_| gone())?;
+    if ticket.caller != call.caller {
+        return Err(gone());
+    }
+    let after = call.header("last-event-id").and_then(|id| id.rsplit(':').next());
+    let from: u64 = match after {
+        None => 0,
+        Some(digits) => digits.parse().map_err(|_| {
+            Fault::new(ErrorKind::BadRequest, "the Last-Event-ID header has no offset")
+        })?,
+    };
+    let shape = match call.header("lentil-shape") {
+        Some("text") => Shape::Text,
+        _ => Shape::Chat,
+    };
+    let pieces = run::resume(app, ticket, from).await?;
+    Ok(event_stream(shape, String::new(), pieces))
+}
--- /dev/null
+++ b/node/src/run/piece.rs
@@ -0,0 +1,82 @@
+use {
+    lentil_core::{
+        error::{ErrorKind, Fault},
+        stream::EndReason,
+    },
+    std::sync::Arc,
+    tokio::sync::mpsc,
+};
+
+/// Pieces that wait for a slow caller at most.
+pub(super) const QUEUE: usize = 64;
+
+/// One piece of an answer on its way to the caller.
+#[derive(Debug, Clone)]
+pub enum Piece {
+    /// A token.
+    Token {
+        /// The stream's id.
+        ticket: Arc<str>,
+        /// Tokens of the answer before it.
+        offset: u64,
+        /// Its text.
+        text: String,
+    },
+    /// The end.
+    End {
+        /// The stream's id.
+        ticket: Arc<str>,
+        /// Tokens of the answer.
+        offset: u64,
+        /// Why it ended.
+        reason: EndReason,
+    },
+}
+
+impl Piece {
+    /// The stream's id.
+    pub fn ticket(&self) -> &str {
+        match self {
+            Self::Token { ticket, .. } | Self::End { ticket, .. } => ticket,
+        }
+    }
+}
+
+/// The pieces of one answer, in order.
+pub struct Pieces {
+    receiver: mpsc::Receiver<Result<Piece, Fault>>,
+    held: Option<Piece>,
+    ended: bool,
+}
+
+impl Pieces {
+    pub(super) fn new(receiver: mpsc::Receiver<Result<Piece, Fault>>) -> Self {
+        Self { receiver, held: None, ended: false }
+    }
+
+    /// The next piece.
+    ///
+    /// # Errors
+    /// The fault that ended the answer.
+    pub async fn next(&mut self) -> Result<Piece, Fault> {
+        let piece = match self.held.take() {
+            Some(piece) => piece,
+            None => self.receiver.recv().await.unwrap_or_else(|| {
+                Err(Fault::new(ErrorKind::TargetLost, "the run ended without an answer"))
+            })?,
+        };
+        self.ended = matches!(piece, Piece::End { .. });
+        Ok(piece)
+    }
+
+    /// Puts a piece back, to be the next.
+    pub fn put_back(&mut self, piece: Piece) {
+        self.held = Some(piece);
+        self.ended = false;
+    }
+
+    /// Whether the last piece was taken.
+    pub fn ended(&self) -> bool {
+        self.ended
+    }
+}
--- /dev/null
+++ b/node/src/run/resume.rs
@@ -0,0 +1,65 @@
+use {
+    super::{piece::QUEUE, Piece, Pieces},
+    crate::{
+        app::App,
+        ports::{Chunks, EngineError},
+    },
+    futures_util::StreamExt,
+    lentil_core::{
+        error::{ErrorKind, Fault},
+        stream::{StreamCheck, Ticket},
+    },
+    std::sync::Arc,
+    tokio::sync::mpsc,
+};
+
+/// Streams the rest of a run from offset `from` of the whole answer.
+///
+/// # Errors
+/// [`ErrorKind::StreamGone`] if the engine has the run no more.
+pub async fn resume(app: Arc<App>, ticket: Ticket, from: u64) -> Result<Pieces, Fault> {
+    let gone = |e: EngineError| {
+        Fault::new(ErrorKind::StreamGone, format!("the stream can't be resumed: {e}"))
+    };
+    if from < ticket.base {
+        return Err(gone(EngineError::Refused("it began on another engine".into())));
+    }
+    let address = app.fleet().engine(&ticket.engine).map(|e| e.address);
+    let address = address.ok_or_else(|| gone(EngineError::Refused("no such engine".into())))?;
+    let chunks = app.ports.engines.resume(address, &ticket.run, from).await.map_err(gone)?;
+    let (sender, receiver) = mpsc::channel(QUEUE);
+    let id = ticket.seal(app.settings.mesh.key.as_bytes()).into();
+    let check = StreamCheck::new(ticket.run, from);
+    tokio::spawn(pass(chunks, check, id, sender));
+    Ok(Pieces::new(receiver))
+}
+
+async fn pass(
+    mut chunks: Chunks,
+    mut check: StreamCheck,
+    ticket: Arc<str>,
+    sender: mpsc::Sender<Result<Piece, Fault>>,
+) {
+    while let Some(next) = chunks.next().await {
+        let piece = match next {
+            Err(e) => Err(Fault::new(ErrorKind::TargetLost, e.to_string())),
+            Ok(chunk) => match check.pass(&chunk) {
+                Err(e) => Err(Fault::new(ErrorKind::BadAnswer, e.to_string())),
+                Ok(()) => Ok(match chunk.end {
+                    Some(reason) => {
+                        Piece::End { ticket: ticket.clone(), offset: chunk.offset, reason }
+                    }
+                    None => Piece::Token {
+                        ticket: ticket.clone(),
+                        offset: chunk.offset,
+                        text: chunk.text,
+                    },
+                }),
+            },
+        };
+        let failed = piece.is_err();
+        if sender.send(piece).await.is_err() || failed || check.ended() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/run/task.rs
@@ -0,0 +1,232 @@
+use {
+    super::{
+        attempt::{Attempt, Ended},
+        piece::QUEUE,
+        Piece, Pieces, Request,
+    },
+    crate::app::App,
+    lentil_core::{
+        admit::{admit, Ask},
+        clock::Time,
+        error::{ErrorKind, Fault, Outcome},
+        ids::{EngineId, Tokens},
+        poison::Standing,
+        route::{choose, Pick, Place},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::sleep},
+};
+
+/// Pause before a run is tried again when no engine is open for it.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Times that one request is begun at most.
+const MAX_TRIES: u32 = 6;
+
+/// Begins a run; its pieces come as they are made.
+pub fn start(app: Arc<App>, request: Request) -> Pieces {
+    let (sender, receiver) = mpsc::channel(QUEUE);
+    tokio::spawn(Task::new(app, request, sender).run());
+    Pieces::new(receiver)
+}
+
+/// One request on its way through one engine after another until it is answered.
+pub(super) struct Task {
+    pub(super) app: Arc<App>,
+    pub(super) request: Request,
+    pub(super) sender: mpsc::Sender<Result<Piece, Fault>>,
+    /// Tokens passed on so far.
+    pub(super) done: Vec<String>,
+    /// When the first token was passed on.
+    pub(super) first: Option<Time>,
+    /// Whether an engine may have begun it.
+    pub(super) begun: bool,
+}
+
+/// Engines chosen for an attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Chosen {
+    pub(super) decode: Target,
+    pub(super) prefill: Option<Target>,
+    pub(super) alone: bool,
+}
+
+/// An engine with its address.
+#[derive(Debug, Clone)]
+pub(super) struct Target {
+    pub(super) id: EngineId,
+    pub(super) address: std::net::SocketAddr,
+    pub(super) boot: lentil_core::ids::Incarnation,
+}
+
+impl Task {
+    fn new(app: Arc<App>, request: Request, sender: mpsc::Sender<Result<Piece, Fault>>) -> Self {
+        Self { app, request, sender, done: Vec::new(), first: None, begun: false }
+    }
+
+    async fn run(mut self) {
+        let Ok(_place) = self.app.open.clone().try_acquire_owned() else {
+            let fault = Fault::new(ErrorKind::NoCapacity, "too many answers are in work");
+            return self.fail(fault).await;
+        };
+        self.arrived();
+        self.app.gate().retries.fresh();
+        let mut tries = 0;
+        loop {
+            let chosen = match self.choose(tries) {
+                Ok(chosen) => chosen,
+                Err(fault) if self.may_wait(&fault, tries) => {
+                    sleep(PAUSE).await;
+                    continue;
+                }
+                Err(fault) => return self.fail(fault).await,
+            };
+            tries += 1;
+            let alone = chosen.alone.then(|| chosen.decode.id.clone());
+            let ended = Attempt::new(&mut self, chosen).run().await;
+            if let Some(engine) = alone {
+                self.isolate(&engine, false);
+            }
+            match ended {
+                Ended::Whole => return self.finish(),
+                Ended::CallerGone => return self.left(),
+                Ended::Failed(fault) => {
+                    if tries >= MAX_TRIES || !self.app.gate().retries.take() {
+                        return self.fail(fault).await;
+                    }
+                    self.app.meter.retries.inc();
+                }
+            }
+        }
+    }
+
+    /// A request whose engines were lost, or that waits for one of its own, waits for an engine
+    /// to open. A fresh one is refused at once.
+    fn may_wait(&self, fault: &Fault, tries: u32) -> bool {
+        let now = self.app.now();
+        let deadline = self.request.arrived + self.request.work.class.deadline.span();
+        let waits = tries > 0 || self.request.work.alone;
+        fault.kind == ErrorKind::NoTarget && waits && now < deadline
+    }
+
+    fn arrived(&self) {
+        let (app, work, now) = (&self.app, &self.request.work, self.app.now());
+        let Ok(index) = app.index() else { return };
+        // The first cell that serves the model stands for all of them in this region.
+        let serves = |e: &&lentil_core::manifest::EngineSpec| {
+            e.model == work.model && e.region == app.settings.region
+        };
+        let engines = index.manifest.engines.values();
+        let Some(engine) = engines
+            .clone()
+            .find(serves)
+            .or_else(|| engines.into_iter().find(|e| e.model == work.model))
+        else {
+            return;
+        };
+        let (cell, output) = (&engine.cell, work.output);
+        app.gate().arrived(cell, &work.model, work.prompt, output, now);
+    }
+
+    /// Chooses engines under the tables' locks and notes what is sent to them.
+    fn choose(&mut self, tries: u32) -> Result<Chosen, Fault> {
+        let app = self.app.clone();
+        let now = app.now();
+        match app.quarantine().standing(self.request.print, now) {
+            Standing::Clear => {}
+            Standing::Isolate => self.request.work.alone = true,
+            Standing::Quarantined => {
+                let text = "the request has crashed two targets";
+                return Err(Fault::new(ErrorKind::Quarantined, text));
+            }
+        }
+        let place = Place { region: app.settings.region.clone(), zone: app.settings.zone.clone() };
+        let mut work = self.request.work.clone();
+        work.prompt += Tokens(self.done.len() as u64);
+        let mut fleet = app.fleet();
+        fleet.refresh(now);
+        let mut cache = app.cache();
+        let pick = choose(&fleet.engines, &cache, &work, &place, now)?;
+        if tries == 0 {
+            self.admit(&pick, now)?;
+        }
+        let todo = work.prompt - pick.hit;
+        let prefill = pick.prefill.map(|i| {
+            let engine = &mut fleet.engines[i];
+            engine.breaker.sent();
+            engine.load.sent(todo, false, now);
+            cache.sent(&engine.id, &work.blocks);
+            Target { id: engine.id.clone(), address: engine.address, boot: engine.boot }
+        });
+        let engine = &mut fleet.engines[pick.decode];
+        engine.breaker.sent();
+        let direct = if prefill.is_none() { todo } else { Tokens(0) };
+        engine.load.sent(direct, true, now);
+        if prefill.is_none() {
+            cache.sent(&engine.id, &work.blocks);
+        }
+        engine.isolated = work.alone;
+        let decode = Target { id: engine.id.clone(), address: engine.address, boot: engine.boot };
+        Ok(Chosen { decode, prefill, alone: work.alone })
+    }
+
+    /// Admission, with the use that it leads to.
+    fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
+        let request = &self.request;
+        let mut gate = self.app.gate();
+        let ask = Ask {
+            workspace: &request.workspace,
+            share: request.share,
+            class: &request.work.class,
+            waited: now - request.arrived,
+        };
+        admit(&ask, pick, &gate.shares, now)?;
+        let cost = pick.end.as_secs_f64();
+        gate.shares.used(&request.workspace, request.share, cost, now);
+        Ok(())
+    }
+
+    pub(super) fn isolate(&self, engine: &EngineId, on: bool) {
+        if let Some(engine) = self.app.fleet().engine(engine) {
+            engine.isolated = on;
+        }
+    }
+
+    fn finish(self) {
+        let (app, request) = (&self.app, &self.request);
+        let now = app.now();
+        app.quarantine().cleared(request.print);
+        let length = Tokens(self.done.len() as u64);
+        app.gate().ended(&request.work.model, length);
+        let class = &request.work.class;
+        let first = self.first.unwrap_or(now) - request.arrived;
+        let steps = self.done.len().saturating_sub(1).max(1) as u32;
+        let between = (now - self.first.unwrap_or(now)) / steps;
+        app.meter.timed(request.class.as_str(), first, between);
+        let spent = match () {
+            () if first > class.first.span() => Some("first"),
+            () if between > class.between.span() => Some("between"),
+            () if now - request.arrived > class.deadline.span() => Some("deadline"),
+            () => None,
+        };
+        let service = request.work.model.as_str();
+        app.meter.ended(service, request.class.as_str(), "whole", spent);
+    }
+
+    fn left(self) {
+        let request = &self.request;
+        let service = request.work.model.as_str();
+        self.app.meter.requests.with_label_values(&[service, request.class.as_str(), "left"]).inc();
+    }
+
+    async fn fail(self, mut fault: Fault) {
+        if self.begun && fault.outcome == Outcome::NotRun {
+            fault.outcome = Outcome::Unknown;
+        }
+        let request = &self.request;
+        let (service, class) = (request.work.model.as_str(), request.class.as_str());
+        let code = fault.kind.answer().code;
+        self.app.meter.ended(service, class, code, Some(code));
+        // The caller may have gone.
+        let _ = self.sender.send(Err(fault)).await;
+    }
+}
