--- /dev/null
+++ b/fakes/examples/demo.rs
@@ -0,0 +1,323 @@
+//! Six instances as separate processes before stand-ins: a mixed load through a mix shift, a
+//! drained engine, a killed holder, a stopped instance and a store outage.
+//!
+//! `cargo run --release --example demo -p lentil-fakes`
+
+use {
+    anyhow::{Context, Result},
+    hyper::Method,
+    lentil_core::{ids::Revision, manifest::Role, settings::Settings},
+    lentil_fakes::{
+        client::{Balancer, Caller, Ended, Prompt},
+        engine::{answer, EngineSetup},
+        site::{listed, Site, SiteSetup, CAMERA, DESK},
+    },
+    lentilgrade::ports::{ListKind, ListState},
+    nix::{
+        sys::signal::{kill, Signal},
+        unistd::Pid,
+    },
+    std::{
+        collections::BTreeMap,
+        env,
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command},
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc, Mutex,
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// Names the settings file of a copy of this program that is to be an instance.
+const INSTANCE: &str = "LENTIL_DEMO_INSTANCE";
+/// Entry instances.
+const INSTANCES: usize = 6;
+/// Longest time that a caller waits for one request.
+const PATIENCE: Duration = Duration::from_secs(45);
+
+fn main() -> Result<()> {
+    if let Some(settings) = env::var_os(INSTANCE) {
+        let args = lentilgrade::daemon::Args { settings: PathBuf::from(settings), check: false };
+        std::process::exit(lentilgrade::daemon::run(&args));
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(demo())
+}
+
+/// The instances, and what the platform's balancer knows of them.
+struct Entry {
+    addresses: Vec<SocketAddr>,
+    ready: Vec<AtomicBool>,
+    children: Mutex<Vec<Child>>,
+}
+
+impl Balancer for Entry {
+    fn pick(&self) -> SocketAddr {
+        let ready: Vec<usize> =
+            (0..INSTANCES).filter(|i| self.ready[*i].load(Ordering::Relaxed)).collect();
+        match ready.as_slice() {
+            [] => self.addresses[0],
+            some => self.addresses[some[rand::random::<usize>() % some.len()]],
+        }
+    }
+}
+
+impl Entry {
+    fn signal(&self, i: usize, signal: Signal) -> Result<()> {
+        let children = self.children.lock().map_err(|_| anyhow::anyhow!("a task panicked"))?;
+        kill(Pid::from_raw(children[i].id() as i32), signal)?;
+        Ok(())
+    }
+
+    /// Follows which instances are ready.
+    async fn probe(self: Arc<Self>) {
+        loop {
+            for (i, at) in self.addresses.iter().enumerate() {
+                let request = lentilgrade::http::request(Method::GET, *at, "/readyz", "");
+                let limit = Duration::from_millis(300);
+                let answer = lentilgrade::http::call(*at, request, limit).await;
+                self.ready[i].store(answer.is_ok_and(|a| a.status == 200), Ordering::Relaxed);
+            }
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Ok(children) = self.children.get_mut() {
+            for child in children {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// What became of the requests of one kind.
+#[derive(Debug, Default, Clone)]
+struct Tally {
+    sent: u64,
+    whole: u64,
+    wrong: u64,
+    refused: BTreeMap<String, u64>,
+    unknown: BTreeMap<String, u64>,
+    broken: BTreeMap<String, u64>,
+    in_time: u64,
+}
+
+type Tallies = Arc<Mutex<BTreeMap<&'static str, Tally>>>;
+
+fn note(tallies: &Tallies, kind: &'static str, ended: Ended, right: bool, took: Duration) {
+    let mut tallies = tallies.lock().expect("no task panics with the tallies");
+    let tally = tallies.entry(kind).or_default();
+    tally.sent += 1;
+    match ended {
+        Ended::Whole(_) => {
+            tally.whole += 1;
+            tally.wrong += u64::from(!right);
+            tally.in_time += u64::from(right && took < Duration::from_secs(20));
+        }
+        Ended::NotRun(code) => *tally.refused.entry(code).or_default() += 1,
+        Ended::Unknown(code) => *tally.unknown.entry(code).or_default() += 1,
+        Ended::Broken(text) => *tally.broken.entry(text).or_default() += 1,
+    }
+}
+
+async fn generate(
+    entry: Arc<Entry>,
+    tallies: Tallies,
+    kind: &'static str,
+    prompt: String,
+    max: u32,
+) {
+    let begun = Instant::now();
+    let ask = Prompt { model: "groot".into(), prompt, max_tokens: max, stream: true };
+    let ended = Caller::new(CAMERA).stream_whole(entry.as_ref(), &ask, PATIENCE).await;
+    let right = ended == Ended::Whole(answer(&ask.prompt, "", max));
+    note(&tallies, kind, ended, right, begun.elapsed());
+}
+
+async fn book(entry: Arc<Entry>, tallies: Tallies, number: usize) {
+    let begun = Instant::now();
+    let (key, body) = (format!("key-{number}"), format!("seat {number}"));
+    let path = "/services/bookings/manifest";
+    let caller = Caller::new(DESK);
+    let ended = caller.keyed_whole(entry.as_ref(), path, &key, &body, PATIENCE).await;
+    let right = matches!(&ended, Ended::Whole(text) if text.contains(&body));
+    note(&tallies, "booking", ended, right, begun.elapsed());
+}
+
+/// Sends a mix of requests for a while: `reports` long prompts and `tags` short ones a second.
+async fn load(entry: &Arc<Entry>, tallies: &Tallies, seconds: f64, reports: f64, tags: f64) {
+    let begun = Instant::now();
+    let mut tasks = JoinSet::new();
+    let frames = "frame ".repeat(2_000);
+    let (mut sent_reports, mut sent_tags, mut number) = (0.0, 0.0, 0);
+    while begun.elapsed().as_secs_f64() < seconds {
+        let passed = begun.elapsed().as_secs_f64();
+        let unique = rand::random::<u64>();
+        while sent_reports < passed * reports {
+            sent_reports += 1.0;
+            let prompt = format!("{unique} {sent_reports} {frames}");
+            let (entry, tallies) = (entry.clone(), tallies.clone());
+            tasks.spawn(generate(entry, tallies, "report", prompt, 16));
+        }
+        while sent_tags < passed * tags {
+            sent_tags += 1.0;
+            number += 1;
+            let prompt = format!("tag {unique} {sent_tags}");
+            tasks.spawn(generate(entry.clone(), tallies.clone(), "tag", prompt, 120));
+            if number % 4 == 0 {
+                let id = (unique as usize).wrapping_add(number);
+                tasks.spawn(book(entry.clone(), tallies.clone(), id));
+            }
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+fn start_instances(site: &Site, folder: &std::path::Path) -> Result<Entry> {
+    let program = env::current_exe()?;
+    let (mut addresses, mut children) = (Vec::new(), Vec::new());
+    for i in 0..INSTANCES {
+        let mut settings: Settings = site.settings(i);
+        settings.listen = free_address()?;
+        settings.mesh.listen = free_address()?;
+        let file = folder.join(format!("{}.json", settings.instance));
+        std::fs::write(&file, serde_json::to_string_pretty(&settings)?)?;
+        let child = Command::new(&program).env(INSTANCE, &file).spawn().context("an instance")?;
+        site.list.put(listed(settings.instance.as_str(), ListKind::Entry, settings.mesh.listen));
+        addresses.push(settings.listen);
+        children.push(child);
+    }
+    let ready = (0..INSTANCES).map(|_| AtomicBool::new(false)).collect();
+    Ok(Entry { addresses, ready, children: Mutex::new(children) })
+}
+
+/// The instance that holds the cell, by the store.
+fn holder(site: &Site) -> Option<usize> {
+    let value = site.kv.value("cells/nl-1/holder")?;
+    let value: serde_json::Value = serde_json::from_str(&value).ok()?;
+    value.pointer("/holder/instance")?.as_str()?.trim_start_matches('a').parse().ok()
+}
+
+async fn demo() -> Result<()> {
+    let engine = EngineSetup {
+        prefill: 12_000.0,
+        step: Duration::from_millis(15),
+        slots: 16,
+        change: Duration::from_secs(1),
+        ..EngineSetup::default()
+    };
+    let mut engines = vec![engine; 8];
+    engines[7].fenced = false;
+    let decode = 16.0 / 0.015;
+    let setup = SiteSetup { engines, targets: 3, weight: 1.0, decode, ..SiteSetup::default() };
+    let site = Site::start(setup).await;
+    site.apply(Revision(0)).await;
+    let folder = env::temp_dir().join(format!("lentil-demo-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let entry = Arc::new(start_instances(&site, &folder)?);
+    let probe = tokio::spawn(entry.clone().probe());
+    println!("waiting for {INSTANCES} instances before 8 engines and 3 targets");
+    while !entry.ready.iter().all(|r| r.load(Ordering::Relaxed)) {
+        sleep(Duration::from_millis(100)).await;
+    }
+    let tallies = Tallies::default();
+    let begun = Instant::now();
+    let step = |text: &str| println!("{:6.1} s  {text}", begun.elapsed().as_secs_f64());
+
+    step("mostly short prompts and long outputs");
+    load(&entry, &tallies, 6.0, 2.0, 40.0).await;
+
+    step("the mix shifts to long prompts");
+    let shift = load(&entry, &tallies, 14.0, 22.0, 12.0);
+    let drain = async {
+        sleep(Duration::from_secs(8)).await;
+        site.list.set_state("e0", ListState::Leaving);
+        step("engine e0 is leaving");
+    };
+    tokio::join!(shift, drain);
+    let roles = site.engines.iter().filter(|e| e.report().role == Role::Prefill).count();
+    step(&format!("{roles} engines prefill now"));
+
+    let killed = holder(&site).unwrap_or(0);
+    let kills = async {
+        sleep(Duration::from_secs(3)).await;
+        step(&format!("instance a{killed}, which holds the cell, is killed"));
+        entry.signal(killed, Signal::SIGKILL)
+    };
+    let (_, done) = tokio::join!(load(&entry, &tallies, 8.0, 6.0, 30.0), kills);
+    done?;
+    site.list.set_state(&format!("a{killed}"), ListState::Gone);
+
+    let stopped = (killed + 1) % INSTANCES;
+    let stops = async {
+        sleep(Duration::from_secs(2)).await;
+        step(&format!("instance a{stopped} is told to stop"));
+        entry.signal(stopped, Signal::SIGTERM)
+    };
+    let (_, done) = tokio::join!(load(&entry, &tallies, 8.0, 4.0, 30.0), stops);
+    done?;
+
+    step("the store goes down; bookings are refused or wait");
+    let outage = async {
+        site.kv.faults.set(|f| f.down = true);
+        sleep(Duration::from_secs(6)).await;
+        site.kv.faults.set(|f| f.down = false);
+        step("the store is back");
+    };
+    tokio::join!(load(&entry, &tallies, 9.0, 4.0, 30.0), outage);
+
+    step("done");
+    print_table(&site, &tallies);
+    probe.abort();
+    drop(entry);
+    std::fs::remove_dir_all(&folder)?;
+    Ok(())
+}
+
+fn print_table(site: &Site, tallies: &Tallies) {
+    let tallies = tallies.lock().expect("no task panics with the tallies").clone();
+    println!();
+    println!(
+        "{:<10}{:>8}{:>8}{:>8}{:>10}{:>9}{:>8}{:>9}",
+        "kind", "sent", "whole", "wrong", "not run", "unknown", "broken", "in time"
+    );
+    for (kind, t) in &tallies {
+        let sum = |map: &BTreeMap<String, u64>| map.values().sum::<u64>();
+        println!(
+            "{kind:<10}{:>8}{:>8}{:>8}{:>10}{:>9}{:>8}{:>8.1}%",
+            t.sent,
+            t.whole,
+            t.wrong,
+            sum(&t.refused),
+            sum(&t.unknown),
+            sum(&t.broken),
+            100.0 * t.in_time as f64 / t.sent.max(1) as f64
+        );
+        let reasons = [("not run", &t.refused), ("unknown", &t.unknown), ("broken", &t.broken)];
+        for (what, map) in reasons {
+            map.iter().for_each(|(code, count)| println!("          {what}: {count} {code}"));
+        }
+    }
+    let twice = site.effects.runs().values().filter(|runs| **runs > 1).count();
+    let effects: Vec<_> = site.engines.iter().flat_map(|e| e.effects()).collect();
+    let role = |e: &&lentil_fakes::engine::OrderEffect| {
+        matches!(e.command.order, lentil_core::order::Order::Role(_))
+    };
+    println!();
+    println!("bookings run twice: {twice}");
+    println!("role changes: {}", effects.iter().filter(role).count());
+    println!("answers cut by orders: {}", effects.iter().map(|e| e.cut).sum::<usize>());
+}
