Orders: settle an open order by an engine's restart only after its sending has ended

Ruled out: the fence (the engine checks none) and the lease (one holder only). Now the ledger notes the incarnation seen after the attempt to send, and only a restart after that settles. Proofs that a predecessor ended count for one order, not for the process: it may hold the cell again.

--- a/core/src/order/entry.rs
+++ b/core/src/order/entry.rs
@@ -56,8 +56,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stage {
-    /// It may be on its way, or have been carried out.
+    /// It may be sent, be on its way, or have been carried out.
     Open,
+    /// The attempt to send it has ended, in the engine's incarnation that it was written for.
+    Sent,
+    /// The attempt to send it has ended, in a later incarnation, which is the one noted.
+    Moved,
     /// It can't have an effect any more that is not known.
     Settled,
 }
@@ -71,7 +75,7 @@
     pub order: Order,
     /// Who gave it.
     pub by: Holder,
-    /// The engine's incarnation when it was written.
+    /// The engine's incarnation when it was written, or as noted since.
     pub boot: Incarnation,
     /// How far it has come.
     pub stage: Stage,
--- a/core/src/order/ledger.rs
+++ b/core/src/order/ledger.rs
@@ -58,7 +58,7 @@
         if self.holder != *by {
             return Err(OrderError::NotHolder(self.holder.clone()));
         }
-        let open = self.entries.get(engine).filter(|e| e.stage == Stage::Open);
+        let open = self.entries.get(engine).filter(|e| e.stage != Stage::Settled);
         if let Some(entry) = open {
             return Err(OrderError::Unsettled { engine: engine.clone(), number: entry.number });
         }
@@ -87,8 +87,16 @@
         }
     }
 
+    /// Enters what was seen of an engine after an order went out to it.
+    pub fn note(&mut self, engine: &EngineId, number: Fence, stage: Stage, boot: Incarnation) {
+        if let Some(entry) = self.entries.get_mut(engine).filter(|e| e.number == number) {
+            entry.stage = stage;
+            entry.boot = boot;
+        }
+    }
+
     /// Engines with an open order.
     pub fn unsettled(&self) -> impl Iterator<Item = (&EngineId, &Entry)> {
-        self.entries.iter().filter(|(_, e)| e.stage == Stage::Open)
+        self.entries.iter().filter(|(_, e)| e.stage != Stage::Settled)
     }
 }
--- a/core/src/order/resolve.rs
+++ b/core/src/order/resolve.rs
@@ -1,5 +1,6 @@
 use {
-    super::{EngineReport, Entry, Holder},
+    super::{EngineReport, Entry, Holder, Stage},
+    crate::ids::Incarnation,
     std::fmt,
 };
 
@@ -18,6 +19,8 @@
 pub enum Resolution {
     /// It can't have an effect any more that the report does not show.
     Settled,
+    /// Enter in the ledger what was seen of the engine, and read it again later.
+    Note(Stage, Incarnation),
     /// Tell the engine to hold with a greater number, then read again.
     Raise,
     /// Give the engine no order; it keeps serving in its role.
@@ -59,20 +62,24 @@
             false => Resolution::Raise,
         };
     }
+    let same = report.boot == entry.boot;
     // One copy is ever sent, so a fulfilled order is a delivered one. An engine that restarted
     // may have come up in that state by itself.
-    if report.boot == entry.boot && report.fulfils(&entry.order) {
+    if same && entry.stage != Stage::Moved && report.fulfils(&entry.order) {
         return Resolution::Settled;
     }
-    let own = entry.by == *me;
-    // A restart closed the connection that the order went out on. A predecessor may not have
-    // opened its connection yet.
-    if own && report.boot != entry.boot {
-        return Resolution::Settled;
-    }
-    match (own, proof) {
-        (false, Proof::Ended) if !report.changing => Resolution::Settled,
-        (false, _) => Resolution::Frozen(Frozen::Predecessor),
-        (true, _) => Resolution::Frozen(Frozen::Delivery),
+    match entry.stage {
+        Stage::Settled => Resolution::Settled,
+        // A restart since then closed the connection that the order went out on. A restart
+        // before may have come before the connection was made.
+        Stage::Sent | Stage::Moved if !same => Resolution::Settled,
+        _ if entry.by != *me => match proof {
+            Proof::Ended if !report.changing => Resolution::Settled,
+            _ => Resolution::Frozen(Frozen::Predecessor),
+        },
+        Stage::Sent | Stage::Moved => Resolution::Frozen(Frozen::Delivery),
+        // This process looks at open orders between attempts to send, never during one.
+        Stage::Open if same => Resolution::Note(Stage::Sent, report.boot),
+        Stage::Open => Resolution::Note(Stage::Moved, report.boot),
     }
 }
--- a/core/src/order/tests.rs
+++ b/core/src/order/tests.rs
@@ -37,54 +37,42 @@
     use {
         super::Frozen::*,
         Proof::*,
-        Resolution::{Raise, Settled},
+        Resolution::{Frozen as Hold, Note, Raise, Settled},
         Role::*,
     };
-    // name, fenced, given by me, engine's boot, role, fence, proof, resolution
+    let boot = Incarnation;
+    // name, fenced, given by me, stage, engine's boot, role, fence, proof, resolution
     let cases = [
-        ("fenced, not seen", true, true, 1, Decode, 4, None, Raise),
-        ("fenced, seen", true, true, 1, Prefill, 5, None, Settled),
-        ("fenced, newer seen", true, false, 1, Decode, 9, None, Settled),
-        ("fenced, restarted and forgetful", true, false, 2, Decode, 0, None, Raise),
-        ("own, carried out", false, true, 1, Prefill, 0, None, Settled),
-        ("own, not carried out", false, true, 1, Decode, 0, None, Resolution::Frozen(Delivery)),
-        ("own, engine restarted", false, true, 2, Decode, 0, None, Settled),
-        ("other's, carried out", false, false, 1, Prefill, 0, None, Settled),
+        ("fenced, not seen", true, true, Stage::Open, 1, Decode, 4, None, Raise),
+        ("fenced, seen", true, true, Stage::Open, 1, Prefill, 5, None, Settled),
+        ("fenced, newer seen", true, false, Stage::Open, 1, Decode, 9, None, Settled),
+        ("fenced, forgetful", true, false, Stage::Open, 2, Decode, 0, None, Raise),
+        ("own, done", false, true, Stage::Open, 1, Prefill, 0, None, Settled),
+        ("own, not done", false, true, Stage::Open, 1, Decode, 0, None, Note(Stage::Sent, boot(1))),
         (
-            "other's, not carried out",
-            false,
-            false,
-            1,
-            Decode,
-            0,
-            None,
-            Resolution::Frozen(Predecessor),
-        ),
-        (
-            "other's, engine restarted",
-            false,
+            "own, restarted",
             false,
+            true,
+            Stage::Open,
             2,
             Decode,
             0,
             None,
-            Resolution::Frozen(Predecessor),
-        ),
-        (
-            "other's, restarted into the role",
-            false,
-            false,
-            2,
-            Prefill,
-            0,
-            None,
-            Resolution::Frozen(Predecessor),
+            Note(Stage::Moved, boot(2)),
         ),
-        ("other's, with proof", false, false, 1, Decode, 0, Ended, Settled),
+        ("own, on its way", false, true, Stage::Sent, 1, Decode, 0, None, Hold(Delivery)),
+        ("own, came up so", false, true, Stage::Moved, 1, Prefill, 0, None, Hold(Delivery)),
+        ("own, restarted since", false, true, Stage::Sent, 2, Decode, 0, None, Settled),
+        ("other's, done", false, false, Stage::Open, 1, Prefill, 0, None, Settled),
+        ("other's, not done", false, false, Stage::Open, 1, Decode, 0, None, Hold(Predecessor)),
+        ("other's, restarted", false, false, Stage::Open, 2, Prefill, 0, None, Hold(Predecessor)),
+        ("other's, restarted since", false, false, Stage::Sent, 2, Decode, 0, None, Settled),
+        ("other's, with proof", false, false, Stage::Open, 1, Decode, 0, Ended, Settled),
     ];
-    for (name, fenced, own, boot, role, fence, proof, want) in cases {
+    for (name, fenced, own, stage, boot, role, fence, proof, want) in cases {
         let by = if own { "a" } else { "b" };
-        let got = resolve(&entry(by), fenced, &report(boot, role, fence), &holder("a"), proof);
+        let entry = Entry { stage, ..entry(by) };
+        let got = resolve(&entry, fenced, &report(boot, role, fence), &holder("a"), proof);
         assert_eq!(got, want, "{name}");
     }
 }
--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -49,6 +49,8 @@
     planners: HashMap<ModelId, Planner>,
     proofs: Proofs,
     hold: Option<Hold>,
+    looked: Option<Time>,
+    failing: bool,
 }
 
 impl Controller {
@@ -59,15 +61,16 @@
             planners: HashMap::new(),
             proofs: Proofs::default(),
             hold: None,
+            looked: None,
+            failing: false,
         }
     }
 
     async fn run(mut self, app: Arc<App>) {
         let period = app.settings.control.period.span();
         while *app.phase.borrow() == Phase::Serving {
-            if let Err(error) = self.tick(&app).await {
-                log::warn!("control: cell {}: {error}", self.cell);
-            }
+            let done = self.tick(&app).await;
+            self.note(done);
             sleep(period).await;
         }
         if let Some(hold) = self.hold.take() {
@@ -75,6 +78,17 @@
         }
     }
 
+    /// Logs when the store begins to fail and when it is back, not each failure.
+    fn note(&mut self, done: Result<(), StoreError>) {
+        let failing = done.is_err();
+        match done {
+            Err(error) if !self.failing => log::warn!("control: cell {}: {error}", self.cell),
+            Ok(()) if self.failing => log::info!("control: cell {}: the store is back", self.cell),
+            _ => {}
+        }
+        self.failing = failing;
+    }
+
     async fn tick(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
         let Some(mut hold) = self.hold.take() else { return self.seek(app).await };
         hold.renew(app).await;
@@ -106,9 +120,13 @@
     /// Takes the cell if it has no holder and this instance is among its first candidates.
     async fn seek(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
         let duty = app.view().rank_for(self.cell.as_str(), &app.settings.region);
-        if duty >= CANDIDATES {
+        let now = app.now();
+        let every = app.settings.control.lease.span() / 3;
+        let early = self.looked.is_some_and(|t| now - t < every);
+        if duty >= CANDIDATES || early {
             return Ok(());
         }
+        self.looked = Some(now);
         let Some(hold) = Hold::take(app, &self.cell).await? else { return Ok(()) };
         log::info!("control: took cell {} with number {}", self.cell, hold.ledger.number);
         let (number, address) = (hold.ledger.number, app.settings.mesh.listen);
--- a/node/src/control/hold.rs
+++ b/node/src/control/hold.rs
@@ -118,7 +118,7 @@
                 }
             }
             Err(StoreError::NoLease) => self.seat.set(None),
-            Err(error) => log::warn!("control: lease of cell {} not renewed: {error}", self.cell),
+            Err(error) => log::debug!("control: lease of cell {} not renewed: {error}", self.cell),
         }
     }
 
--- a/node/src/control/orders.rs
+++ b/node/src/control/orders.rs
@@ -97,7 +97,7 @@
             true => Proof::None,
             false => {
                 let quiet = app.settings.control.order.span();
-                proofs.seek(app, &self.cell, &entry.by, quiet).await
+                proofs.seek(app, &self.cell, entry, quiet).await
             }
         };
         match resolve(entry, spec.fenced, &report, &app.me, proof) {
@@ -107,6 +107,11 @@
                 log::info!("control: order {} to engine {id} is settled", entry.number);
                 Ok(true)
             }
+            Resolution::Note(stage, boot) => {
+                self.ledger.note(id, entry.number, stage, boot);
+                self.save(app).await?;
+                Ok(false)
+            }
             Resolution::Raise => {
                 let number = self.raise(report.fence);
                 self.save(app).await?;
--- a/node/src/control/proof.rs
+++ b/node/src/control/proof.rs
@@ -2,9 +2,9 @@
     crate::{app::App, mesh},
     lentil_core::{
         clock::Time,
-        ids::CellId,
+        ids::{CellId, Fence},
         mesh::Message,
-        order::{Holder, Proof},
+        order::{Entry, Holder, Proof},
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -21,11 +21,11 @@
 /// What is known of predecessors that may still send orders.
 #[derive(Debug, Default)]
 pub(super) struct Proofs {
-    traces: HashMap<Holder, Trace>,
+    traces: HashMap<(Holder, Fence), Trace>,
 }
 
 impl Proofs {
-    /// Looks for a sign that `holder` can't send orders any more.
+    /// Looks for a sign that the sender of `entry` can't send it any more.
     ///
     /// The sign counts only after `quiet`, the longest time for which an order that has left its
     /// sender may be on its way.
@@ -33,11 +33,13 @@
         &mut self,
         app: &Arc<App>,
         cell: &CellId,
-        holder: &Holder,
+        entry: &Entry,
         quiet: Duration,
     ) -> Proof {
         let now = app.now();
-        let trace = self.traces.entry(holder.clone()).or_default();
+        let holder = &entry.by;
+        // For each order anew: a process that stepped down may hold the cell again later.
+        let trace = self.traces.entry((holder.clone(), entry.number)).or_default();
         if trace.ended.is_none() && has_ended(app, holder) {
             trace.ended = Some(now);
         }
