--- a/core/src/mesh/tests.rs
+++ b/core/src/mesh/tests.rs
@@ -153,3 +153,50 @@
     let told: usize = (0..100).map(|_| view.news(4).len()).sum();
     assert_eq!(told, 12);
 }
+
+/// Views that beat each other for `periods`, where `linked` says which messages arrive.
+fn gossip(
+    views: &mut [View],
+    periods: std::ops::Range<u64>,
+    linked: impl Fn(usize, usize) -> bool,
+) {
+    for period in periods {
+        let now = at(period * 100);
+        for from in 0..views.len() {
+            for target in views[from].beat(2, now) {
+                let to: usize = target.id.as_str()[1..].parse().unwrap();
+                if !linked(from, to) {
+                    continue;
+                }
+                for (a, b) in [(from, to), (to, from)] {
+                    let (me, news) = (views[a].me().clone(), views[a].news(6));
+                    views[b].heard(&me, now);
+                    for piece in news {
+                        if let News::Member { info, state } = piece {
+                            views[b].learn(&info, state, now);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn alive(view: &View) -> usize {
+    view.members().filter(|m| m.state == MemberState::Alive).count()
+}
+
+#[test]
+fn view_heals_after_a_partition() {
+    let mut views: Vec<View> = (0..12).map(|i| View::new(info(&format!("n{i}")), PACE)).collect();
+    for (i, view) in views.iter_mut().enumerate() {
+        view.learn(&info(&format!("n{}", (i + 1) % 12)), MemberState::Alive, at(0));
+    }
+    gossip(&mut views, 0..100, |_, _| true);
+    assert!(views.iter().all(|v| alive(v) == 11), "one after another is met");
+    gossip(&mut views, 100..300, |a, b| a % 2 == b % 2);
+    assert!(views.iter().all(|v| alive(v) == 5), "the other side is gone");
+    gossip(&mut views, 300..600, |_, _| true);
+    let found: Vec<usize> = views.iter().map(alive).collect();
+    assert_eq!(found, [11; 12]);
+}
--- a/core/src/mesh/view.rs
+++ b/core/src/mesh/view.rs
@@ -11,6 +11,8 @@
 pub const NEAR: usize = 24;
 /// Instances of other regions in a view at most.
 pub const FAR: usize = 12;
+/// Of so many periods, one beats a member that is believed dead.
+const REVIVE: u64 = 8;
 /// Times that one piece of news is told.
 const TELLS: u32 = 12;
 /// Pieces of news kept for telling at most.
@@ -51,12 +53,13 @@
     members: BTreeMap<InstanceId, Member>,
     news: Vec<(News, u32)>,
     turn: u64,
+    periods: u64,
 }
 
 impl View {
     /// A view that knows only `me`.
     pub fn new(me: MemberInfo, pace: Pace) -> Self {
-        Self { me, pace, members: BTreeMap::new(), news: Vec::new(), turn: 0 }
+        Self { me, pace, members: BTreeMap::new(), news: Vec::new(), turn: 0, periods: 0 }
     }
 
     /// What this instance says of itself.
@@ -82,11 +85,18 @@
     /// Takes in a direct sign of life.
     pub fn heard(&mut self, info: &MemberInfo, now: Time) {
         self.learn(info, MemberState::Alive, now);
-        if let Some(member) = self.members.get_mut(&info.id) {
-            if member.info.start == info.start && member.state <= MemberState::Suspect {
-                member.heard = now;
-                member.asked = None;
-            }
+        let Some(member) = self.members.get_mut(&info.id) else { return };
+        if member.info.start != info.start {
+            return;
+        }
+        if member.state <= MemberState::Suspect {
+            member.heard = now;
+            member.asked = None;
+        }
+        if member.state != MemberState::Alive {
+            // It can refute only what it hears.
+            let (info, state) = (member.info.clone(), member.state);
+            self.tell(News::Member { info, state });
         }
     }
 
@@ -175,11 +185,9 @@
     /// Advances the failure detector and names the members to beat now, at most `count`.
     pub fn beat(&mut self, count: usize, now: Time) -> Vec<MemberInfo> {
         self.age(now);
+        self.periods += 1;
         let live: Vec<InstanceId> = self.live().map(|m| m.info.id.clone()).collect();
-        if live.is_empty() {
-            return Vec::new();
-        }
-        let mut chosen = Vec::new();
+        let mut chosen: Vec<MemberInfo> = self.dead_one().into_iter().collect();
         for _ in 0..count.min(live.len()) {
             let id = &live[self.turn as usize % live.len()];
             self.turn += 1;
@@ -191,6 +199,17 @@
         chosen
     }
 
+    /// At times a member that is believed dead: after a partition nobody else would find it.
+    fn dead_one(&self) -> Option<MemberInfo> {
+        let dead: Vec<&Member> =
+            self.members.values().filter(|m| m.state == MemberState::Dead).collect();
+        if dead.is_empty() || !self.periods.is_multiple_of(REVIVE) {
+            return None;
+        }
+        let turn = (self.periods / REVIVE) as usize;
+        Some(dead[turn % dead.len()].info.clone())
+    }
+
     fn age(&mut self, now: Time) {
         let pace = self.pace;
         let mut changed = Vec::new();
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Number of fingerprints that may not run at all.
+    pub fn quarantined(&self) -> usize {
+        self.suspects.values().filter(|s| s.crashes.len() >= MAX_LOST).count()
+    }
+
     /// Number of fingerprints kept.
     pub fn len(&self) -> usize {
         self.suspects.len()
--- a/fakes/examples/demo.rs
+++ b/fakes/examples/demo.rs
@@ -4,25 +4,21 @@
 //! `cargo run --release --example demo -p lentil-fakes`
 
 use {
-    anyhow::{Context, Result},
-    hyper::Method,
-    lentil_core::{ids::Revision, manifest::Role, settings::Settings},
+    anyhow::Result,
+    lentil_core::{ids::Revision, manifest::Role},
     lentil_fakes::{
         client::{Balancer, Caller, Ended, Prompt},
         engine::{answer, EngineSetup},
-        site::{listed, Site, SiteSetup, CAMERA, DESK},
-    },
-    lentilgrade::ports::{ListKind, ListState},
-    nix::{
-        sys::signal::{kill, Signal},
-        unistd::Pid,
+        site::{Process, Site, SiteSetup, CAMERA, DESK},
     },
+    lentilgrade::ports::ListState,
+    nix::sys::signal::Signal,
     std::{
         collections::BTreeMap,
         env,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::PathBuf,
-        process::{Child, Command},
+        process::Command,
         sync::{
             atomic::{AtomicBool, Ordering},
             Arc, Mutex,
@@ -50,9 +46,8 @@
 
 /// The instances, and what the platform's balancer knows of them.
 struct Entry {
-    addresses: Vec<SocketAddr>,
+    processes: Vec<Process>,
     ready: Vec<AtomicBool>,
-    children: Mutex<Vec<Child>>,
 }
 
 impl Balancer for Entry {
@@ -60,44 +55,24 @@
         let ready: Vec<usize> =
             (0..INSTANCES).filter(|i| self.ready[*i].load(Ordering::Relaxed)).collect();
         match ready.as_slice() {
-            [] => self.addresses[0],
-            some => self.addresses[some[rand::random::<usize>() % some.len()]],
+            [] => self.processes[0].address(),
+            some => self.processes[some[rand::random::<usize>() % some.len()]].address(),
         }
     }
 }
 
 impl Entry {
-    fn signal(&self, i: usize, signal: Signal) -> Result<()> {
-        let children = self.children.lock().map_err(|_| anyhow::anyhow!("a task panicked"))?;
-        kill(Pid::from_raw(children[i].id() as i32), signal)?;
-        Ok(())
-    }
-
     /// Follows which instances are ready.
     async fn probe(self: Arc<Self>) {
         loop {
-            for (i, at) in self.addresses.iter().enumerate() {
-                let request = lentilgrade::http::request(Method::GET, *at, "/readyz", "");
-                let limit = Duration::from_millis(300);
-                let answer = lentilgrade::http::call(*at, request, limit).await;
-                self.ready[i].store(answer.is_ok_and(|a| a.status == 200), Ordering::Relaxed);
+            for (process, ready) in self.processes.iter().zip(&self.ready) {
+                ready.store(process.is_ready().await, Ordering::Relaxed);
             }
             sleep(Duration::from_millis(200)).await;
         }
     }
 }
 
-impl Drop for Entry {
-    fn drop(&mut self) {
-        if let Ok(children) = self.children.get_mut() {
-            for child in children {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-        }
-    }
-}
-
 /// What became of the requests of one kind.
 #[derive(Debug, Default, Clone)]
 struct Tally {
@@ -182,33 +157,23 @@
     while tasks.join_next().await.is_some() {}
 }
 
-fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
-fn start_instances(site: &Site, folder: &std::path::Path) -> Result<Entry> {
+fn start_instances(site: &Site) -> Result<Entry> {
     let program = env::current_exe()?;
-    let (mut addresses, mut children) = (Vec::new(), Vec::new());
-    for i in 0..INSTANCES {
-        let mut settings: Settings = site.settings(i);
-        settings.listen = free_address()?;
-        settings.mesh.listen = free_address()?;
-        let file = folder.join(format!("{}.json", settings.instance));
-        std::fs::write(&file, serde_json::to_string_pretty(&settings)?)?;
-        let child = Command::new(&program).env(INSTANCE, &file).spawn().context("an instance")?;
-        site.list.put(listed(settings.instance.as_str(), ListKind::Entry, settings.mesh.listen));
-        addresses.push(settings.listen);
-        children.push(child);
-    }
+    let start = |i| {
+        site.process(i, |file| {
+            let mut command = Command::new(&program);
+            command.env(INSTANCE, file);
+            command
+        })
+    };
+    let processes = (0..INSTANCES).map(start).collect();
     let ready = (0..INSTANCES).map(|_| AtomicBool::new(false)).collect();
-    Ok(Entry { addresses, ready, children: Mutex::new(children) })
+    Ok(Entry { processes, ready })
 }
 
-/// The instance that holds the cell, by the store.
+/// Number of the instance that holds the cell.
 fn holder(site: &Site) -> Option<usize> {
-    let value = site.kv.value("cells/nl-1/holder")?;
-    let value: serde_json::Value = serde_json::from_str(&value).ok()?;
-    value.pointer("/holder/instance")?.as_str()?.trim_start_matches('a').parse().ok()
+    site.holder()?.trim_start_matches('a').parse().ok()
 }
 
 async fn demo() -> Result<()> {
@@ -225,9 +190,7 @@
     let setup = SiteSetup { engines, targets: 3, weight: 1.0, decode, ..SiteSetup::default() };
     let site = Site::start(setup).await;
     site.apply(Revision(0)).await;
-    let folder = env::temp_dir().join(format!("lentil-demo-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let entry = Arc::new(start_instances(&site, &folder)?);
+    let entry = Arc::new(start_instances(&site)?);
     let probe = tokio::spawn(entry.clone().probe());
     println!("waiting for {INSTANCES} instances before 8 engines and 3 targets");
     while !entry.ready.iter().all(|r| r.load(Ordering::Relaxed)) {
@@ -255,20 +218,18 @@
     let kills = async {
         sleep(Duration::from_secs(3)).await;
         step(&format!("instance a{killed}, which holds the cell, is killed"));
-        entry.signal(killed, Signal::SIGKILL)
+        entry.processes[killed].signal(Signal::SIGKILL);
     };
-    let (_, done) = tokio::join!(load(&entry, &tallies, 8.0, 6.0, 30.0), kills);
-    done?;
+    tokio::join!(load(&entry, &tallies, 8.0, 6.0, 30.0), kills);
     site.list.set_state(&format!("a{killed}"), ListState::Gone);
 
     let stopped = (killed + 1) % INSTANCES;
     let stops = async {
         sleep(Duration::from_secs(2)).await;
         step(&format!("instance a{stopped} is told to stop"));
-        entry.signal(stopped, Signal::SIGTERM)
+        entry.processes[stopped].signal(Signal::SIGTERM);
     };
-    let (_, done) = tokio::join!(load(&entry, &tallies, 8.0, 4.0, 30.0), stops);
-    done?;
+    tokio::join!(load(&entry, &tallies, 8.0, 4.0, 30.0), stops);
 
     step("the store goes down; bookings are refused or wait");
     let outage = async {
@@ -282,8 +243,6 @@
     step("done");
     print_table(&site, &tallies);
     probe.abort();
-    drop(entry);
-    std::fs::remove_dir_all(&folder)?;
     Ok(())
 }
 
--- a/fakes/src/kv/store.rs
+++ b/fakes/src/kv/store.rs
@@ -77,9 +77,9 @@
         self.table().values.get(key).map(|v| v.text.clone())
     }
 
-    /// The latest revision.
-    pub fn revision(&self) -> Revision {
-        self.table().revision
+    /// Revision of a key; zero if it does not exist.
+    pub fn revision_of(&self, key: &str) -> Revision {
+        self.table().values.get(key).map_or(Revision(0), |v| v.revision)
     }
 
     async fn watch(&self, key: &str, asked: &Asked) -> Response<Body> {
--- a/fakes/src/site/build.rs
+++ b/fakes/src/site/build.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// The instance that holds the engines' cell, by the store.
+    pub fn holder(&self) -> Option<String> {
+        let value = self.kv.value("cells/nl-1/holder")?;
+        let value: serde_json::Value = serde_json::from_str(&value).ok()?;
+        Some(value.pointer("/holder/instance")?.as_str()?.to_owned())
+    }
+
     /// Writes the manifest to the store, made from revision `base`.
     ///
     /// # Panics
--- a/fakes/src/site/mod.rs
+++ b/fakes/src/site/mod.rs
@@ -2,5 +2,6 @@
 
 mod build;
 mod instance;
+mod process;
 
-pub use {build::*, instance::*};
+pub use {build::*, instance::*, process::*};
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -19,6 +19,10 @@
 
 /// Pause before a run is tried again when no engine is open for it.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Time within which all instances have heard of a crash.
+const SPREAD: Duration = Duration::from_secs(1);
+/// Factor by which an idle engine may be faster than its class asks.
+const QUICK: u32 = 4;
 /// Times that one request is begun at most.
 const MAX_TRIES: u32 = 6;
 
@@ -94,18 +98,29 @@
                         return self.fail(fault).await;
                     }
                     self.app.meter.retries.inc();
+                    self.let_news_come().await;
                 }
             }
         }
     }
 
     /// A request whose engines were lost, or that waits for one of its own, waits for an engine
-    /// to open. A fresh one is refused at once.
+    /// to open while it could still end in time. A fresh one is refused at once.
     fn may_wait(&self, fault: &Fault, tries: u32) -> bool {
-        let now = self.app.now();
-        let deadline = self.request.arrived + self.request.work.class.deadline.span();
-        let waits = tries > 0 || self.request.work.alone;
-        fault.kind == ErrorKind::NoTarget && waits && now < deadline
+        let (now, work) = (self.app.now(), &self.request.work);
+        let left = work.output - Tokens(self.done.len() as u64);
+        let needed = (work.class.between.span() / QUICK).saturating_mul(left.0 as u32);
+        let deadline = self.request.arrived + work.class.deadline.span();
+        let waits = tries > 0 || work.alone;
+        fault.kind == ErrorKind::NoTarget && waits && now + needed < deadline
+    }
+
+    /// A suspect waits until the instances have heard of each other's crashes.
+    async fn let_news_come(&self) {
+        let standing = self.app.quarantine().standing(self.request.print, self.app.now());
+        if standing == Standing::Isolate {
+            sleep(SPREAD).await;
+        }
     }
 
     fn arrived(&self) {
