Follow the mix: latency-aware loss, spread choices, streams that move; the mix experiment

Causes of late and needless changes: the loss counted throughput only, emptied engines waited for whole outputs, and noise summed up.

A pause that has ended stays ended: news of its beginning that came late re-opened it for 90 s.

--- a/core/src/admit/gate.rs
+++ b/core/src/admit/gate.rs
@@ -11,7 +11,7 @@
 };
 
 /// Part of a class's time to the first token that may pass in queues before shares are enforced.
-const CONTENDED: f64 = 0.5;
+const CONTENDED: f64 = 0.25;
 
 /// Who asks and how much.
 #[derive(Debug, Clone, Copy)]
@@ -40,7 +40,7 @@
         let text = format!("the answer would come {} ms too late", wait.as_millis().max(1));
         return Err(Fault::new(ErrorKind::NoCapacity, text).after(wait));
     }
-    let contended = pick.first > first.mul_f64(CONTENDED);
+    let contended = pick.wait > first.mul_f64(CONTENDED);
     if contended && shares.over(ask.workspace, ask.share, now) {
         let text = format!("workspace {:?} is over its share", ask.workspace.as_str());
         return Err(Fault::new(ErrorKind::OverShare, text).after(pick.first));
--- a/core/src/admit/shares.rs
+++ b/core/src/admit/shares.rs
@@ -9,7 +9,7 @@
 /// Workspaces are forgotten when there are more than this many.
 const SWEEP: usize = 1_024;
 /// Over-use that is let pass, as a factor of the fair share.
-const SLACK: f64 = 1.1;
+const SLACK: f64 = 1.5;
 
 #[derive(Debug, Clone, Copy)]
 struct Use {
--- a/core/src/admit/tests.rs
+++ b/core/src/admit/tests.rs
@@ -15,7 +15,14 @@
 
 fn pick(first: u64, end: u64) -> Pick {
     let millis = Duration::from_millis;
-    Pick { decode: 0, prefill: None, first: millis(first), end: millis(end), hit: Tokens(0) }
+    Pick {
+        decode: 0,
+        prefill: None,
+        first: millis(first),
+        wait: millis(first / 2),
+        end: millis(end),
+        hit: Tokens(0),
+    }
 }
 
 fn kind(waited: u64, pick: &Pick, shares: &Shares) -> Option<ErrorKind> {
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -44,8 +44,6 @@
     pub changing: bool,
     /// It carries out an order.
     pub away: bool,
-    /// It runs a suspect alone: no new work.
-    pub isolated: bool,
 }
 
 impl EngineView {
@@ -66,13 +64,12 @@
             leaving: false,
             changing: false,
             away: false,
-            isolated: false,
         }
     }
 
     /// Whether new work may go to it.
     pub fn open(&self, now: Time) -> bool {
-        !self.leaving && !self.changing && !self.away && !self.isolated && self.breaker.allows(now)
+        !self.leaving && !self.changing && !self.away && self.breaker.allows(now)
     }
 
     /// Prompt tokens per second that it prefills in its role.
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -59,12 +59,13 @@
         }
     }
 
-    /// The load expected now, if the engine prefills `rate` tokens per second.
-    pub fn expected(&self, rate: f64, now: Time) -> Load {
+    /// The load expected now, if the engine prefills `rate` tokens per second and each of
+    /// `instances` has sent it as much as this one since the report.
+    pub fn expected(&self, rate: f64, instances: u32, now: Time) -> Load {
         let mut load = self.report;
         for send in &self.sends {
-            load.queued += send.prompt;
-            load.running += u32::from(send.decode);
+            load.queued += Tokens(send.prompt.0 * u64::from(instances));
+            load.running += u32::from(send.decode) * instances;
         }
         let since = (now - self.taken).min(FORGET).as_secs_f64();
         let done = Tokens((rate * since) as u64);
@@ -72,6 +73,11 @@
         load
     }
 
+    /// Whether a report taken at `since` or later shows no work, and nothing was sent after it.
+    pub fn idle_since(&self, since: Time) -> bool {
+        self.taken >= since && self.report.idle() && self.sends.is_empty()
+    }
+
     /// When the latest report was taken.
     pub fn taken(&self) -> Time {
         self.taken
--- a/core/src/plan/capacity.rs
+++ b/core/src/plan/capacity.rs
@@ -3,8 +3,14 @@
     crate::{fleet::MIX, manifest::EngineRates},
 };
 
-/// Part of an engine's rates that can be used before queues grow past the targets.
-pub const USABLE: f64 = 0.85;
+/// Part of the requests that may miss a target before an engine counts as fully used.
+const LATE: f64 = 0.02;
+/// Part of the decoding engines' time that can be used; slots are many, so that few wait.
+const DECODE_USABLE: f64 = 0.88;
+/// Part of the mixed-in prefill's time that can be used.
+const MIXED_USABLE: f64 = 0.7;
+/// Seconds of the way to a first token that are not prefill.
+const OVERHEAD: f64 = 0.08;
 
 /// Engines of one model in each role.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -22,27 +28,55 @@
     }
 }
 
-/// Part of `demand` that engines with `rates` serve in a split, between 0 and 1.
+/// Probability that one of `servers` busy to a part `used` makes a request wait (Erlang C).
+fn wait_probability(servers: usize, used: f64) -> f64 {
+    let offered = servers as f64 * used;
+    let blocked = (1..=servers).fold(1.0, |b, k| offered * b / (k as f64 + offered * b));
+    blocked / (1.0 - used * (1.0 - blocked))
+}
+
+/// Part of the time of `servers` that can be used while few requests wait for longer than
+/// `slack` service times.
+fn usable(servers: usize, slack: f64) -> f64 {
+    let late = |used: f64| {
+        let spare = servers as f64 * (1.0 - used);
+        wait_probability(servers, used) * (-spare * slack).exp()
+    };
+    let (mut low, mut high) = (0.0, 1.0);
+    for _ in 0..20 {
+        let middle = (low + high) / 2.0;
+        match late(middle) <= LATE {
+            true => low = middle,
+            false => high = middle,
+        }
+    }
+    low
+}
+
+/// Part of the requests of `demand` that engines with `rates` serve within their targets.
 ///
-/// Decoding engines give up to [`MIX`] of their time to prefill.
+/// Long prompts need prefilling engines, with spare time enough that they don't queue for long.
+/// Short ones are prefilled beside decoding, which takes up to [`MIX`] of its time.
 pub fn served(demand: Demand, rates: &EngineRates, split: Split) -> f64 {
-    let engines_p = demand.prefill / (rates.prefill.0 * USABLE);
-    let engines_d = demand.decode / (rates.decode.0 * USABLE);
-    let (p, d) = (split.prefill as f64, split.decode as f64);
-    if engines_p + engines_d <= 0.0 {
+    let requests = demand.long + demand.short;
+    if requests <= 0.0 {
         return 1.0;
     }
-    // Prefill beyond the prefilling engines takes decoding time, at most MIX of it.
-    let by_prefill = (p + d * MIX) / engines_p.max(1e-9);
-    let by_decode = d / engines_d.max(1e-9);
-    let by_both = (p + d) / (engines_p + engines_d);
-    by_prefill.min(by_decode).min(by_both).min(1.0)
+    let (p, d) = (split.prefill as f64, split.decode as f64);
+    let part = |capacity: f64, work: f64| (capacity / work.max(1e-9)).min(1.0);
+    let service = demand.service(rates.prefill.0);
+    let slack = ((demand.first() - OVERHEAD - service) / service.max(1e-9)).max(0.0);
+    let prefill = demand.prefill / rates.prefill.0;
+    let long = part(p * usable(split.prefill, slack), prefill);
+    let mixed = demand.mixed / rates.prefill.0;
+    let short = part(d * MIX * MIXED_USABLE, mixed);
+    let decode = part(d * DECODE_USABLE, demand.decode / rates.decode.0 + mixed);
+    (demand.long * long + demand.short * short) / requests * decode
 }
 
-/// Engines' worth of work that is lost each second in a split.
+/// Engines' worth of requests that miss their targets in a split.
 pub fn loss(demand: Demand, rates: &EngineRates, split: Split) -> f64 {
-    let work = demand.prefill / rates.prefill.0 + demand.decode / rates.decode.0;
-    work * (1.0 - served(demand, rates, split))
+    split.total() as f64 * (1.0 - served(demand, rates, split))
 }
 
 /// The split of `total` engines with the least loss, nearest to `current` among equals.
--- a/core/src/plan/demand.rs
+++ b/core/src/plan/demand.rs
@@ -1,22 +1,104 @@
 use {
-    crate::{clock::Time, ids::Tokens},
+    crate::{clock::Time, fleet::MIX, ids::Tokens},
     serde::{Deserialize, Serialize},
-    std::ops::Add,
+    std::{ops::Add, time::Duration},
 };
 
-/// Work that arrives, in tokens per second.
+/// Work that arrives.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
-    /// Prompt tokens to prefill, after cache hits.
+    /// Tokens per second of prompts too long to be prefilled beside decoding in time.
     pub prefill: f64,
-    /// Output tokens to decode.
+    /// Tokens per second of the other prompts.
+    pub mixed: f64,
+    /// Output tokens per second.
     pub decode: f64,
+    /// Requests per second with a long prompt.
+    pub long: f64,
+    /// Requests per second with another prompt.
+    pub short: f64,
+    /// Seconds allowed until the first token, summed over the long requests of a second.
+    pub patience: f64,
+}
+
+impl Demand {
+    fn map(self, f: impl Fn(f64) -> f64) -> Self {
+        Self {
+            prefill: f(self.prefill),
+            mixed: f(self.mixed),
+            decode: f(self.decode),
+            long: f(self.long),
+            short: f(self.short),
+            patience: f(self.patience),
+        }
+    }
+
+    /// The demand moved toward another by a part.
+    #[must_use]
+    pub fn toward(self, other: Self, part: f64) -> Self {
+        let part = part.min(1.0);
+        self.map(|x| x * (1.0 - part)) + other.map(|x| x * part)
+    }
+
+    /// Seconds that a mean long prompt is prefilled at `rate` tokens per second.
+    pub fn service(&self, rate: f64) -> f64 {
+        self.prefill / self.long.max(1e-9) / rate
+    }
+
+    /// Mean seconds allowed until the first token of a long request.
+    pub fn first(&self) -> f64 {
+        self.patience / self.long.max(1e-9)
+    }
 }
 
 impl Add for Demand {
     type Output = Self;
     fn add(self, other: Self) -> Self {
-        Self { prefill: self.prefill + other.prefill, decode: self.decode + other.decode }
+        Self {
+            prefill: self.prefill + other.prefill,
+            mixed: self.mixed + other.mixed,
+            decode: self.decode + other.decode,
+            long: self.long + other.long,
+            short: self.short + other.short,
+            patience: self.patience + other.patience,
+        }
+    }
+}
+
+/// Part of the time to the first token that a prompt may take beside decoding.
+const MIXED_PART: f64 = 0.5;
+
+/// One request as the demand counts it.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// Prompt tokens to prefill, after cache hits.
+    pub prompt: Tokens,
+    /// Output tokens expected.
+    pub output: Tokens,
+    /// Latest first token.
+    pub first: Duration,
+}
+
+impl Request {
+    /// The demand of one such request a second, where engines prefill `rate` tokens per second.
+    ///
+    /// ```
+    /// use {lentil_core::{ids::Tokens, plan::Request}, std::time::Duration};
+    ///
+    /// let first = Duration::from_millis(480);
+    /// let short = Request { prompt: Tokens(400), output: Tokens(100), first };
+    /// let long = Request { prompt: Tokens(4_000), ..short };
+    /// assert_eq!((short.demand(20_000.0).short, long.demand(20_000.0).long), (1.0, 1.0));
+    /// ```
+    pub fn demand(&self, rate: f64) -> Demand {
+        let (prompt, first) = (self.prompt.0 as f64, self.first.as_secs_f64());
+        let decode = self.output.0 as f64;
+        match prompt / (rate * MIX) <= first * MIXED_PART {
+            true => Demand { mixed: prompt, decode, short: 1.0, ..Demand::default() },
+            false => {
+                Demand { prefill: prompt, decode, long: 1.0, patience: first, ..Demand::default() }
+            }
+        }
     }
 }
 
@@ -34,11 +116,10 @@
         Self { span, mean: Demand::default(), at: now }
     }
 
-    /// Notes a request that arrived at `now`, taken on or not.
-    pub fn arrived(&mut self, prefill: Tokens, decode: Tokens, now: Time) {
+    /// Notes the demand of a request that arrived at `now`, taken on or not.
+    pub fn arrived(&mut self, one: Demand, now: Time) {
         self.fade(now);
-        self.mean.prefill += prefill.0 as f64 / self.span;
-        self.mean.decode += decode.0 as f64 / self.span;
+        self.mean = self.mean + one.map(|x| x / self.span);
     }
 
     /// The demand at `now`.
@@ -50,8 +131,7 @@
 
     fn fade(&mut self, now: Time) {
         let keep = (-(now - self.at).as_secs_f64() / self.span).exp();
-        self.mean.prefill *= keep;
-        self.mean.decode *= keep;
+        self.mean = self.mean.map(|x| x * keep);
         self.at = self.at.max(now);
     }
 }
--- a/core/src/plan/planner.rs
+++ b/core/src/plan/planner.rs
@@ -4,13 +4,19 @@
         clock::Time,
         manifest::{ChangeWeight, EngineRates, Role},
     },
-    std::time::Duration,
+    std::{cmp::Ordering, time::Duration},
 };
 
 /// Longest time for which a loss is expected to go on.
 const HORIZON: f64 = 60.0; // seconds
+/// Seconds that the slow mean of the demand reaches back.
+const SLOW: f64 = 20.0;
 /// Engines that may be away at once, as a part of all.
 const AWAY: f64 = 0.2;
+/// Least part of all requests that one change must win.
+const MIN_GAIN: f64 = 0.04;
+/// Part of all requests that is lost in no mere gust.
+const GREAT: f64 = 0.17;
 /// Time after which regret that has ended is forgotten.
 const FADE: f64 = 20.0; // seconds
 
@@ -54,13 +60,14 @@
     regret: f64,
     since: Option<Time>,
     toward: Option<Role>,
+    slow: Option<Demand>,
     at: Time,
 }
 
 impl Planner {
     /// A planner with a deployment's weight of changes.
     pub fn new(weight: ChangeWeight, cost: ChangeCost, now: Time) -> Self {
-        Self { weight, cost, regret: 0.0, since: None, toward: None, at: now }
+        Self { weight, cost, regret: 0.0, since: None, toward: None, slow: None, at: now }
     }
 
     /// Sets the weight of changes.
@@ -72,12 +79,16 @@
     pub fn decide(&mut self, s: &Situation, now: Time) -> Option<Role> {
         let passed = (now - self.at).as_secs_f64();
         self.at = now;
+        let slow = self.slow.unwrap_or(s.demand).toward(s.demand, passed / SLOW);
+        self.slow = Some(slow);
         let goal = best(s.demand, s.rates, s.split);
-        let toward = match goal.prefill.cmp(&s.split.prefill) {
-            std::cmp::Ordering::Greater => Some(Role::Prefill),
-            std::cmp::Ordering::Less => Some(Role::Decode),
-            std::cmp::Ordering::Equal => None,
-        };
+        // A gust of demand turns the latest seconds but not the longer mean.
+        let lasting = direction(best(slow, s.rates, s.split), s.split);
+        let won = |d| loss(d, s.rates, s.split) - loss(d, s.rates, goal);
+        let steps = goal.prefill.abs_diff(s.split.prefill).max(1) as f64;
+        let total = s.split.total() as f64;
+        let great = won(s.demand) >= GREAT * total;
+        let toward = direction(goal, s.split).filter(|role| great || lasting == Some(*role));
         if toward != self.toward || toward.is_none() {
             self.regret *= (-passed / FADE).exp();
             if toward.is_some() && toward != self.toward {
@@ -88,9 +99,14 @@
             return None;
         }
         let toward = toward?;
-        let gain = (loss(s.demand, s.rates, s.split) - loss(s.demand, s.rates, goal)).max(0.0);
-        let steps = goal.prefill.abs_diff(s.split.prefill).max(1) as f64;
-        let gain = gain / steps;
+        let gain = match great {
+            true => won(s.demand),
+            false => won(s.demand).min(won(slow)),
+        } / steps;
+        if gain < MIN_GAIN * total {
+            self.regret *= (-passed / FADE).exp();
+            return None;
+        }
         self.regret += gain * passed;
         // What has lasted a while is expected to last as long again.
         let lasted = self.since.map_or(0.0, |t| (now - t).as_secs_f64());
@@ -104,3 +120,12 @@
         Some(toward)
     }
 }
+
+/// The role that engines change to on the way from one split to another.
+fn direction(goal: Split, from: Split) -> Option<Role> {
+    match goal.prefill.cmp(&from.prefill) {
+        Ordering::Greater => Some(Role::Prefill),
+        Ordering::Less => Some(Role::Decode),
+        Ordering::Equal => None,
+    }
+}
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -4,6 +4,7 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{CacheIndex, EngineView},
+        ids::Tokens,
         manifest::Role,
     },
     std::time::Duration,
@@ -12,6 +13,9 @@
 /// Share of its seconds on a decoding engine that a mixed-in prompt costs the others there.
 const DISTURB: f64 = 0.5;
 
+/// Seconds that a full engine is worth avoiding, before its slots are all used.
+const FULL: f64 = 0.05;
+
 #[derive(Clone, Copy)]
 struct Candidate {
     index: usize,
@@ -40,13 +44,15 @@
         if !fits(engine, work, now) {
             continue;
         }
-        let cost = cost(engine, cache, work, place, now);
+        let cost = cost(engine, index, cache, work, place, now);
         let found = Candidate { index, cost };
         match engine.role {
-            Role::Prefill => keep(&mut prefill, found, |c| c.prefill + c.way),
+            Role::Prefill => keep(&mut prefill, found, |c| c.prefill + c.way + c.doubt),
             Role::Decode => {
-                keep(&mut decode, found, |c| c.slot + c.way + c.between);
-                keep(&mut direct, found, |c| c.prefill.max(c.slot) + c.way);
+                keep(&mut decode, found, |c| c.slot + c.way + c.between + c.used * FULL + c.doubt);
+                keep(&mut direct, found, |c| {
+                    c.prefill.max(c.slot) + c.way + c.used * FULL + c.doubt
+                });
             }
         }
     }
@@ -64,8 +70,7 @@
 
 fn fits(engine: &EngineView, work: &Work, now: Time) -> bool {
     let loaded = work.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
-    let alone = !work.alone || engine.load.expected(0.0, now).idle();
-    engine.model == work.model && loaded && alone && engine.open(now)
+    engine.model == work.model && loaded && engine.open(now)
 }
 
 fn keep(best: &mut Option<Candidate>, found: Candidate, score: impl Fn(&Cost) -> f64) {
@@ -76,24 +81,29 @@
 
 /// The whole request on one decoding engine, with its score.
 fn mixed(d: Candidate, work: &Work) -> (Pick, f64) {
-    let first = d.cost.prefill.max(d.cost.slot) + d.cost.way + d.cost.between;
-    let score = first + DISTURB * d.cost.prefill;
-    (pick(d, None, first, d.cost.hit, work), score)
+    let first = |prefill: f64| prefill.max(d.cost.slot) + d.cost.way + d.cost.between;
+    let score = first(d.cost.prefill) + DISTURB * d.cost.prefill;
+    let wait = d.cost.queue.max(d.cost.slot);
+    (pick(d, None, [first(d.cost.known), wait], d.cost.hit, work), score)
 }
 
 /// Prefill on one engine, decode on another, with its score.
 fn split(p: Candidate, d: Candidate, work: &Work) -> (Pick, f64) {
     let moved = MOVE_BASE + work.prompt.0 as f64 * MOVE;
-    let ready = p.cost.prefill + p.cost.way + moved;
-    let first = ready.max(d.cost.slot) + d.cost.way + d.cost.between;
-    (pick(d, Some(p.index), first, p.cost.hit, work), first)
+    let first = |prefill: f64| {
+        let ready = prefill + p.cost.way + moved;
+        ready.max(d.cost.slot) + d.cost.way + d.cost.between
+    };
+    let score = first(p.cost.prefill);
+    let wait = p.cost.queue.max(d.cost.slot);
+    (pick(d, Some(p.index), [first(p.cost.known), wait], p.cost.hit, work), score)
 }
 
 fn pick(
     d: Candidate,
     prefill: Option<usize>,
-    first: f64,
-    hit: crate::ids::Tokens,
+    [first, wait]: [f64; 2],
+    hit: Tokens,
     work: &Work,
 ) -> Pick {
     let end = first + work.output.0 as f64 * d.cost.between;
@@ -101,6 +111,7 @@
         decode: d.index,
         prefill,
         first: Duration::from_secs_f64(first),
+        wait: Duration::from_secs_f64(wait),
         end: Duration::from_secs_f64(end),
         hit,
     }
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -12,37 +12,52 @@
 pub const MOVE: f64 = 5e-6;
 /// Seconds that any move between engines takes.
 pub const MOVE_BASE: f64 = 0.01;
+/// Age in seconds from which reports say nothing more.
+const OLDEST: f64 = 5.0;
+/// Seconds of work by which a load may change in a second.
+const DRIFT: f64 = 0.05;
 const OTHER_ZONE: f64 = 0.002; // seconds
 const OTHER_REGION: f64 = 0.25; // seconds
 
 /// What one engine would cost a request, in seconds.
 #[derive(Debug, Clone, Copy)]
 pub struct Cost {
-    /// Until the prompt is prefilled.
+    /// Until the prompt is prefilled, if the other instances send as this one does.
     pub prefill: f64,
+    /// Until the prompt is prefilled, by what is known for certain.
+    pub known: f64,
+    /// Until the prompt's prefill begins, by what is known for certain.
+    pub queue: f64,
     /// Until a decode slot is free.
     pub slot: f64,
     /// Between the tokens, with the load that is there now.
     pub between: f64,
     /// Way to the engine.
     pub way: f64,
+    /// Part of the decode slots in use.
+    pub used: f64,
+    /// By how much the load may differ from what is expected, for want of a fresh report.
+    pub doubt: f64,
     /// Prompt tokens that it holds already.
     pub hit: Tokens,
 }
 
-/// Estimates what `engine` would cost `work` at `now`.
+/// Estimates what `engine`, at `index` of its table, would cost `work` at `now`.
 pub fn cost(
     engine: &EngineView,
+    index: usize,
     cache: &CacheIndex,
     work: &Work,
     place: &Place,
     now: Time,
 ) -> Cost {
     let rate = engine.prefill_rate();
-    let load = engine.load.expected(rate, now);
+    let load = engine.load.expected(rate, place.instances, now);
     let hit = cache.hit(&engine.id, &work.blocks) * BLOCK_TOKENS.0 as f64;
     let hit = Tokens((hit as u64).min(work.prompt.0));
     let todo = (load.queued + work.prompt - hit).0 as f64;
+    let queue = engine.load.expected(rate, 1, now).queued.0 as f64 / rate;
+    let known = queue + (work.prompt - hit).0 as f64 / rate;
     let way = match () {
         () if engine.region != place.region => OTHER_REGION,
         () if engine.zone != place.zone => OTHER_ZONE,
@@ -50,9 +65,13 @@
     };
     Cost {
         prefill: todo / rate,
+        known,
+        queue,
         slot: slot_wait(engine, &load, work),
         between: between(engine, &load),
         way,
+        used: f64::from(load.running + load.waiting) / f64::from(engine.rates.slots),
+        doubt: doubt(engine, place, index, now),
         hit,
     }
 }
@@ -72,3 +91,9 @@
         _ => alone,
     }
 }
+
+/// A number from 0 to the seconds by which the load may have changed since its report.
+fn doubt(engine: &EngineView, place: &Place, index: usize, now: Time) -> f64 {
+    let age = (now - engine.load.taken()).as_secs_f64().min(OLDEST);
+    place.random(index) * age * DRIFT
+}
--- a/core/src/route/work.rs
+++ b/core/src/route/work.rs
@@ -22,8 +22,6 @@
     pub blocks: Blocks,
     /// Targets of its class.
     pub class: ClassSpec,
-    /// Whether it must run alone on its engine.
-    pub alone: bool,
 }
 
 /// Where the deciding instance stands, and what salts its choices.
@@ -33,6 +31,20 @@
     pub region: Region,
     /// Its availability zone.
     pub zone: Zone,
+    /// Instances that send to the same engines, this one included.
+    pub instances: u32,
+    /// Different for each request, so that instances with the same view choose differently.
+    pub salt: u64,
+}
+
+impl Place {
+    /// A number from 0 to 1 that differs with the salt and with `index` (splitmix64).
+    pub fn random(&self, index: usize) -> f64 {
+        let mut x = self.salt.wrapping_add((index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((x ^ (x >> 31)) >> 11) as f64 / (1_u64 << 53) as f64
+    }
 }
 
 /// Engines chosen for a request, as indices into the table that was given.
@@ -44,6 +56,8 @@
     pub prefill: Option<usize>,
     /// Time until the first token, as expected.
     pub first: Duration,
+    /// Part of that which passes in queues.
+    pub wait: Duration,
     /// Time until the end, as expected.
     pub end: Duration,
     /// Prompt tokens that the prefilling engine is expected to hold already.
--- /dev/null
+++ b/fakes/examples/slopes.rs
@@ -0,0 +1,252 @@
+//! Measures how the costs of control grow, on one machine with the stand-ins.
+//!
+//! `cargo run --release --example slopes -p lentil-fakes`
+
+use {
+    anyhow::Result,
+    lentil_core::{
+        claim::{ClaimKey, Edit},
+        clock::Time,
+        fleet::{CacheIndex, EngineView},
+        ids::{Fingerprint, Millis, PrefixHash, Revision, Tokens},
+        manifest::{ChangeWeight, ClassSpec, ManifestRecord},
+        plan::{ChangeCost, Demand, Planner, Situation, Split},
+        route::{choose, Place, Work},
+        settings::ClaimSettings,
+    },
+    lentil_fakes::{
+        kv::FakeKv,
+        model::RATES,
+        site::{Site, SiteSetup},
+    },
+    lentilgrade::{
+        adapters::HttpStore,
+        app::{fresh, Clock},
+        claims::ClaimBook,
+        ports::ConfigStore,
+    },
+    std::{
+        hint::black_box,
+        sync::{atomic::Ordering, Arc},
+        time::{Duration, Instant},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// Time for which rates are counted.
+const WINDOW: Duration = Duration::from_secs(8);
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    decisions();
+    claims().await;
+    let mut points = Vec::new();
+    for count in [6, 24, 96] {
+        points.push(mesh(count).await?);
+    }
+    line("mesh, bytes per second and instance", &points);
+    Ok(())
+}
+
+/// Least squares through points: slope, value at zero, greatest residual.
+fn line(what: &str, points: &[(f64, f64)]) {
+    let n = points.len() as f64;
+    let (sx, sy) = points.iter().fold((0.0, 0.0), |(a, b), (x, y)| (a + x, b + y));
+    let (mx, my) = (sx / n, sy / n);
+    let top: f64 = points.iter().map(|(x, y)| (x - mx) * (y - my)).sum();
+    let slope = top / points.iter().map(|(x, _)| (x - mx).powi(2)).sum::<f64>();
+    let zero = my - slope * mx;
+    let residual = points.iter().map(|(x, y)| (y - zero - slope * x).abs()).fold(0.0, f64::max);
+    println!("{what}: slope {slope:.4}, at zero {zero:.2}, residual {residual:.2}");
+}
+
+fn memory() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text.split(' ').nth(1).and_then(|p| p.parse().ok()).unwrap_or(0.0);
+    pages * 4.096e-3
+}
+
+fn time(rounds: u32, mut step: impl FnMut()) -> f64 {
+    let begun = Instant::now();
+    (0..rounds).for_each(|_| step());
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+fn decisions() {
+    let site_spec = |i: usize| lentil_core::manifest::EngineSpec {
+        address: ([127, 0, 0, 1], 1).into(),
+        region: "nl".parse().expect("the name is good"),
+        zone: ["a", "b", "c"][i % 3].parse().expect("the name is good"),
+        cell: "c".parse().expect("the name is good"),
+        model: "m".parse().expect("the name is good"),
+        fenced: true,
+        rates: RATES,
+    };
+    let (mut routes, mut bytes) = (Vec::new(), Vec::new());
+    for count in [10, 150, 1_500] {
+        let before = memory();
+        let engines: Vec<EngineView> = (0..count)
+            .map(|i| EngineView::new(format!("e{i}").parse().expect("good"), &site_spec(i)))
+            .collect();
+        let blocks = (0..48).map(PrefixHash).collect();
+        let work = Work {
+            model: "m".parse().expect("the name is good"),
+            adapter: None,
+            prompt: Tokens(3_000),
+            output: Tokens(200),
+            blocks,
+            class: ClassSpec {
+                first: Millis(480),
+                between: Millis(78),
+                deadline: Millis(30_000),
+                priority: 1,
+            },
+        };
+        let mut cache = CacheIndex::default();
+        engines.iter().for_each(|e| cache.sent(&e.id, &work.blocks));
+        let place = Place {
+            region: "nl".parse().expect("the name is good"),
+            zone: "a".parse().expect("the name is good"),
+            instances: 6,
+            salt: 1,
+        };
+        let micros = time(2_000, || {
+            let _ = black_box(choose(&engines, &cache, &work, &place, Time::from_millis(1)));
+        });
+        println!("route, {count} engines, 48 blocks held by all: {micros:.2} us");
+        routes.push((count as f64, micros));
+        bytes.push((count as f64, (memory() - before) * 1e3));
+        let mut planner = Planner::new(ChangeWeight(2.0), ChangeCost::default(), Time::ZERO);
+        let demand = Demand {
+            prefill: count as f64 * 9e3,
+            decode: count as f64 * 300.0,
+            long: count as f64 * 3.0,
+            patience: count as f64 * 1.4,
+            ..Demand::default()
+        };
+        let split = Split { prefill: count / 3, decode: count - count / 3 };
+        let mut second = 0;
+        let micros = time(if count > 500 { 3 } else { 50 }, || {
+            second += 1;
+            let situation = Situation { demand, rates: &RATES, split, away: 0 };
+            black_box(planner.decide(&situation, Time::from_millis(second * 1_000)));
+        });
+        println!("plan, {count} engines: {micros:.0} us");
+    }
+    line("route, us per engine", &routes);
+    line("routing table and index, kB per engine", &bytes);
+    let before = memory();
+    let mut cache = CacheIndex::default();
+    let engine = "e".parse().expect("the name is good");
+    for i in 0..150_000 {
+        cache.sent(&engine, &[PrefixHash(i)].into_iter().collect());
+    }
+    println!("cache index, bytes per block: {:.0}", (memory() - before) * 1e6 / 150_000.0);
+}
+
+/// Claims of six instances, grouped in buckets against one write a claim.
+async fn claims() {
+    const CLAIMS: usize = 1_800;
+    for buckets in [4, 32, 128] {
+        let (kv, host) = FakeKv::start().await;
+        kv.faults.set(|f| f.slow = Duration::from_millis(3));
+        let store: Arc<dyn ConfigStore> =
+            Arc::new(HttpStore::new(host.address, Duration::from_secs(5)));
+        let settings = ClaimSettings { buckets, ..ClaimSettings::default() };
+        let books: Vec<Arc<ClaimBook>> = (0..6)
+            .map(|_| Arc::new(ClaimBook::new(store.clone(), settings.clone(), Clock::start())))
+            .collect();
+        let mut tasks = JoinSet::new();
+        for i in 0..CLAIMS {
+            let book = books[i % 6].clone();
+            tasks.spawn(async move {
+                sleep(Duration::from_millis(i as u64)).await;
+                let begun = Instant::now();
+                let holder = lentil_core::order::Holder {
+                    instance: format!("a{}", i % 6).parse().expect("the name is good"),
+                    start: lentil_core::ids::Incarnation(1),
+                };
+                let caller = "c".parse().expect("the name is good");
+                let key = ClaimKey::new(&caller, "s", &i.to_string());
+                let edit = Edit::Claim { body: Fingerprint(1), by: holder, run: fresh("c") };
+                (book.submit(key, edit).await.is_ok(), begun.elapsed())
+            });
+        }
+        report_claims(&format!("grouped, {buckets} buckets"), tasks, &kv).await;
+    }
+    let (kv, host) = FakeKv::start().await;
+    kv.faults.set(|f| f.slow = Duration::from_millis(3));
+    let store = Arc::new(HttpStore::new(host.address, Duration::from_secs(5)));
+    let mut tasks = JoinSet::new();
+    for i in 0..CLAIMS {
+        let store = store.clone();
+        tasks.spawn(async move {
+            sleep(Duration::from_millis(i as u64)).await;
+            let begun = Instant::now();
+            let key = format!("claims/one-{i}");
+            let done = store.swap(&key, "claim".into(), Revision(0), None).await;
+            (done.is_ok(), begun.elapsed())
+        });
+    }
+    report_claims("one write a claim", tasks, &kv).await;
+}
+
+async fn report_claims(what: &str, tasks: JoinSet<(bool, Duration)>, kv: &FakeKv) {
+    let done = tasks.join_all().await;
+    let mut took: Vec<Duration> = done.iter().map(|(_, t)| *t).collect();
+    took.sort();
+    let writes = kv.calls.writes.load(Ordering::Relaxed) as f64;
+    println!(
+        "claims, {what}: {:.2} claims a write, {} failed, p50 {:.1} ms, p99 {:.1} ms, {} reads",
+        took.len() as f64 / writes,
+        done.iter().filter(|(ok, _)| !ok).count(),
+        took[took.len() / 2].as_secs_f64() * 1e3,
+        took[took.len() * 99 / 100].as_secs_f64() * 1e3,
+        kv.calls.reads.load(Ordering::Relaxed),
+    );
+}
+
+/// Instances in this process, with the settings' ordinary beat and no callers.
+async fn mesh(count: usize) -> Result<(f64, f64)> {
+    let mut site = Site::start(SiteSetup { engines: Vec::new(), ..SiteSetup::default() }).await;
+    site.manifest.models.clear();
+    site.manifest.groups.clear();
+    for caller in site.manifest.callers.values_mut() {
+        caller.models.clear();
+        caller.group = None;
+    }
+    let first = site.apply(Revision(0)).await;
+    let before = memory();
+    let mut instances = Vec::new();
+    for i in 0..count {
+        let mut settings = site.settings(i);
+        settings.mesh.beat = Millis(250);
+        instances.push(site.instance_with(settings).await);
+    }
+    while !instances.iter().all(|i| i.app.revision() >= first) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_secs(15)).await;
+    let grown = (memory() - before) / count as f64;
+    let sum = || instances.iter().map(|i| i.app.meter.mesh.get()).sum::<u64>() as f64;
+    let reads = || site.kv.calls.reads.load(Ordering::Relaxed);
+    let (bytes, calls) = (sum(), reads());
+    sleep(WINDOW).await;
+    let rate = (sum() - bytes) / WINDOW.as_secs_f64() / count as f64;
+    let calls = (reads() - calls) as f64 / WINDOW.as_secs_f64();
+    let record: ManifestRecord =
+        serde_json::from_str(&site.kv.value("manifest").unwrap_or_default())?;
+    let mut manifest = record.manifest;
+    manifest.weight = ChangeWeight(6.0);
+    site.manifest = manifest;
+    let begun = Instant::now();
+    let next = site.apply(first).await;
+    while !instances.iter().all(|i| i.app.revision() >= next) {
+        sleep(Duration::from_millis(5)).await;
+    }
+    println!(
+        "mesh, {count} instances: {rate:.0} B/s sent and {grown:.2} MB each, {calls:.2} store reads/s in all, a change in force in {:.2} s",
+        begun.elapsed().as_secs_f64()
+    );
+    Ok((count as f64, rate))
+}
--- a/fakes/src/lib.rs
+++ b/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod kv;
 pub mod list;
+pub mod model;
 pub mod server;
 pub mod site;
 
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -6,7 +6,11 @@
         limit::Breaker,
         manifest::{Manifest, Role},
     },
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// Time after which a pause ends by itself, should its holder be gone.
@@ -19,6 +23,8 @@
     pub engines: Vec<EngineView>,
     /// Targets of plain services.
     pub targets: HashMap<(ServiceId, TargetId), TargetView>,
+    /// Engines that run a suspect of this instance.
+    pub suspects: HashSet<EngineId>,
     pauses: HashMap<EngineId, Pause>,
 }
 
@@ -92,13 +98,20 @@
     /// Notes that an engine is paused for an order or in service again; true if that is news.
     pub fn pause(&mut self, id: &EngineId, number: u64, on: bool, now: Time) -> bool {
         let known = self.pauses.get(id);
-        if known.is_some_and(|p| p.number > number || (p.number == number && p.on == on)) {
+        // The end of a pause is final: news of its beginning may come later.
+        let old = |p: &Pause| p.number > number || (p.number == number && (!p.on || on));
+        if known.is_some_and(old) {
             return false;
         }
         self.pauses.insert(id.clone(), Pause { number, on, since: now });
         true
     }
 
+    /// Number of the latest pause of an engine, if it is paused.
+    pub fn paused(&self, id: &EngineId) -> Option<u64> {
+        self.pauses.get(id).filter(|p| p.on).map(|p| p.number)
+    }
+
     /// Ends pauses whose holder is gone and applies the others to the engines.
     pub fn refresh(&mut self, now: Time) {
         self.pauses.retain(|_, p| now - p.since < PAUSE);
--- a/node/src/app/gate.rs
+++ b/node/src/app/gate.rs
@@ -4,7 +4,7 @@
         clock::Time,
         ids::{CellId, ModelId, Tokens},
         limit::RetryBudget,
-        plan::DemandMeter,
+        plan::{Demand, DemandMeter},
     },
     std::collections::HashMap,
 };
@@ -38,18 +38,11 @@
     }
 
     /// Notes work that arrived for a cell's engines.
-    pub fn arrived(
-        &mut self,
-        cell: &CellId,
-        model: &ModelId,
-        prefill: Tokens,
-        decode: Tokens,
-        now: Time,
-    ) {
+    pub fn arrived(&mut self, cell: &CellId, model: &ModelId, demand: Demand, now: Time) {
         self.meters
             .entry((cell.clone(), model.clone()))
             .or_insert_with(|| DemandMeter::new(SPAN, now))
-            .arrived(prefill, decode, now);
+            .arrived(demand, now);
     }
 
     /// Expected tokens of output, where the caller allows `max`.
--- a/node/src/app/shared.rs
+++ b/node/src/app/shared.rs
@@ -136,6 +136,11 @@
         self.clock.now()
     }
 
+    /// A number for a pause: later pauses have greater ones, and no two instances the same.
+    pub fn pause_number(&self) -> u64 {
+        self.clock.wall().0 * 1_000 + rand::random::<u64>() % 1_000
+    }
+
     /// Other instances.
     pub fn view(&self) -> MutexGuard<'_, View> {
         locked(&self.view)
--- a/node/src/claims/committer.rs
+++ b/node/src/claims/committer.rs
@@ -25,9 +25,6 @@
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Writes the edits of one bucket, each group by one compare-and-swap.
-///
-/// Grouping writes by the scope within which the store is atomic, here one key, is the atomicity
-/// unit push-down of Suzuki and Yamada, "Breaking the Barriers of Database-Agnostic Transactions".
 pub(super) struct Committer {
     store: Arc<dyn ConfigStore>,
     settings: ClaimSettings,
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -63,7 +63,6 @@
             adapter: resolved.adapter,
             output,
             class,
-            alone: false,
         },
         prompt: ask.prompt.clone(),
     })
--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -245,7 +245,7 @@
             .collect::<Vec<_>>()
             .into_iter()
             .min_by_key(|s| {
-                let load = fleet.engine(&s.id).map(|e| e.load.expected(e.prefill_rate(), now));
+                let load = fleet.engine(&s.id).map(|e| e.load.expected(e.prefill_rate(), 1, now));
                 load.map(|l| (l.running + l.waiting, l.queued))
             })
     }
--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -3,7 +3,7 @@
     crate::{app::App, ports::StoreError},
     lentil_core::{
         clock::Time,
-        ids::{EngineId, Millis},
+        ids::EngineId,
         manifest::{EngineSpec, Role},
         mesh::News,
         order::Order,
@@ -32,14 +32,14 @@
     spec: EngineSpec,
     step: Step,
     since: Time,
-    told: Millis,
+    told: u64,
 }
 
 impl Change {
     /// Begins by telling every instance to send the engine no new work.
     pub(super) fn begin(app: &App, engine: EngineId, spec: EngineSpec, order: Order) -> Self {
         log::info!("control: engine {engine} is emptied, to {order}");
-        let told = app.clock.wall();
+        let told = app.pause_number();
         let change = Self { engine, order, spec, step: Step::Emptying, since: app.now(), told };
         change.tell(app, true);
         change
@@ -54,7 +54,7 @@
     }
 
     fn tell(&self, app: &App, on: bool) {
-        let (engine, number) = (self.engine.clone(), self.told.0);
+        let (engine, number) = (self.engine.clone(), self.told);
         let now = app.now();
         let mut fleet = app.fleet();
         fleet.pause(&engine, number, on, now);
--- a/node/src/queries/status.rs
+++ b/node/src/queries/status.rs
@@ -68,7 +68,7 @@
             open: e.open(now),
             changing: e.changing,
             leaving: e.leaving,
-            load: e.load.expected(e.prefill_rate(), now),
+            load: e.load.expected(e.prefill_rate(), 1, now),
         })
         .collect();
     Status {
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -22,6 +22,8 @@
     Whole,
     /// The caller went away.
     CallerGone,
+    /// The engine is emptied: the answer is to go on at others, from the run's KV cache.
+    Moved(Chosen, CacheSource),
     /// The engine did not answer to the end.
     Failed(Fault),
 }
@@ -31,11 +33,16 @@
     task: &'a mut Task,
     chosen: Chosen,
     run: RunId,
+    /// The run that this one goes on from.
+    origin: Option<CacheSource>,
 }
 
+/// Tokens left below which an answer ends where it is.
+const FEW: u32 = 8;
+
 impl<'a> Attempt<'a> {
-    pub(super) fn new(task: &'a mut Task, chosen: Chosen) -> Self {
-        Self { task, chosen, run: fresh("r") }
+    pub(super) fn new(task: &'a mut Task, chosen: Chosen, origin: Option<CacheSource>) -> Self {
+        Self { task, chosen, run: fresh("r"), origin }
     }
 
     pub(super) async fn run(mut self) -> Ended {
@@ -67,6 +74,9 @@
     }
 
     async fn prefill(&mut self) -> Result<Option<CacheSource>, Fault> {
+        if self.origin.is_some() {
+            return Ok(self.origin.clone());
+        }
         let Some(target) = self.chosen.prefill.clone() else { return Ok(None) };
         let job = self.job(None);
         let engines = self.task.app.ports.engines.clone();
@@ -101,15 +111,43 @@
                 // caller may resume it through any instance.
                 return Ended::CallerGone;
             }
+            self.leave_origin();
             if check.ended() {
                 self.task.succeeded(&target);
                 return Ended::Whole;
             }
+            if let Some(chosen) = self.elsewhere() {
+                self.task.succeeded(&target);
+                let origin = CacheSource { address: target.address, run: self.run.clone() };
+                return Ended::Moved(chosen, origin);
+            }
         }
         let error = EngineError::Lost("answer broke off".into());
         Ended::Failed(self.failed(&target, &error).await)
     }
 
+    /// Ends the run that this one went on from.
+    fn leave_origin(&mut self) {
+        let Some(origin) = self.origin.take() else { return };
+        let engines = self.task.app.ports.engines.clone();
+        tokio::spawn(async move {
+            // An engine ends by itself a run that nobody reads.
+            let _ = engines.cancel(origin.address, &origin.run).await;
+        });
+    }
+
+    /// Where the answer should go on, if its engine is emptied and others are open.
+    fn elsewhere(&mut self) -> Option<Chosen> {
+        let left = self.task.request.max.saturating_sub(self.task.done.len() as u32);
+        let id = &self.chosen.decode.id;
+        let emptied = self.task.app.fleet().engine(id).is_some_and(|e| e.changing);
+        if !emptied || left < FEW || self.task.alone.is_some() {
+            return None;
+        }
+        let chosen = self.task.choose(1).ok()?;
+        Some(Chosen { prefill: None, ..chosen })
+    }
+
     fn ticket(&self, base: u64) -> Arc<str> {
         let ticket = Ticket {
             engine: self.chosen.decode.id.clone(),
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -1,5 +1,6 @@
 //! Runs of generations: engines are chosen, lost ones replaced, tokens passed on once each.
 
+mod alone;
 mod attempt;
 mod blame;
 mod piece;
