One piece for chunk to stream piece, and for reading a checked manifest

A chunk was turned into a stream's piece in both the attempt and the resume; Piece::of serves both. check, diff and apply each read a manifest and printed its faults; read_good serves all three. Behaviour is unchanged: stream, poison, mesh, pause and example tests pass, clippy is clean, and check answers a good and a faulty manifest as before. The whole test run was not repeated.

--- a/ctl/src/commands/apply.rs
+++ b/ctl/src/commands/apply.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         args::Apply,
-        queries::{read_file, show_diff, store},
+        queries::{read_good, show_diff, store},
         CONFLICT, FAULTY,
     },
     anyhow::{bail, Result},
@@ -33,13 +33,7 @@
 /// # Errors
 /// What kept the manifest from being read or written.
 pub async fn apply(args: &Apply) -> Result<i32> {
-    let manifest = match read_file(&args.manifest)? {
-        Ok(manifest) => manifest,
-        Err(problems) => {
-            problems.iter().for_each(|p| eprintln!("{p}"));
-            return Ok(FAULTY);
-        }
-    };
+    let Some(manifest) = read_good(&args.manifest)? else { return Ok(FAULTY) };
     let store = store(args.store);
     match write(&store, args.base, manifest.clone()).await? {
         Applied::Done(revision) => {
--- a/ctl/src/queries/manifest.rs
+++ b/ctl/src/queries/manifest.rs
@@ -4,7 +4,7 @@
         FAULTY,
     },
     anyhow::{Context, Result},
-    lentil_core::manifest::{self, KeyHash, Manifest, Problem},
+    lentil_core::manifest::{self, KeyHash, Manifest},
     lentilgrade::{adapters::HttpStore, follow::read_manifest},
     std::{fs, io, net::SocketAddr, path::Path, time::Duration},
 };
@@ -17,14 +17,18 @@
     HttpStore::new(address, LIMIT)
 }
 
-/// Reads a manifest from a file, or its faults.
+/// Reads a manifest from a file; prints its faults and gives `None` if it has any.
 ///
 /// # Errors
 /// If the file can't be read.
-pub fn read_file(path: &Path) -> Result<Result<Manifest, Vec<Problem>>> {
+pub fn read_good(path: &Path) -> Result<Option<Manifest>> {
     let text =
         fs::read_to_string(path).with_context(|| format!("manifest {:?}", path.display()))?;
-    Ok(Manifest::parse(&text))
+    let parsed = Manifest::parse(&text);
+    if let Err(problems) = &parsed {
+        problems.iter().for_each(|p| eprintln!("{p}"));
+    }
+    Ok(parsed.ok())
 }
 
 /// Checks a manifest.
@@ -32,16 +36,11 @@
 /// # Errors
 /// If the file can't be read.
 pub fn check(args: &Check) -> Result<i32> {
-    match read_file(&args.manifest)? {
-        Ok(_) => {
-            println!("the manifest is good");
-            Ok(0)
-        }
-        Err(problems) => {
-            problems.iter().for_each(|p| eprintln!("{p}"));
-            Ok(FAULTY)
-        }
+    if read_good(&args.manifest)?.is_none() {
+        return Ok(FAULTY);
     }
+    println!("the manifest is good");
+    Ok(0)
 }
 
 /// Prints the hash of the key on standard input.
@@ -72,13 +71,7 @@
 /// # Errors
 /// If the file or the store can't be read.
 pub async fn diff(args: &Diff) -> Result<i32> {
-    let new = match read_file(&args.manifest)? {
-        Ok(manifest) => manifest,
-        Err(problems) => {
-            problems.iter().for_each(|p| eprintln!("{p}"));
-            return Ok(FAULTY);
-        }
-    };
+    let Some(new) = read_good(&args.manifest)? else { return Ok(FAULTY) };
     let found = read_manifest(&store(args.store)).await?;
     let revision = found.as_ref().map_or(0, |(revision, _)| revision.0);
     let old = found.map(|(_, record)| record.manifest).unwrap_or_default();
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -159,15 +159,11 @@
     }
 
     async fn send(&mut self, chunk: Chunk, ticket: &Arc<str>) -> bool {
-        let ticket = ticket.clone();
-        let piece = match chunk.end {
-            Some(reason) => Piece::End { ticket, offset: chunk.offset, reason },
-            None => {
-                self.task.first.get_or_insert(self.task.app.now());
-                self.task.done.push(chunk.text.clone());
-                Piece::Token { ticket, offset: chunk.offset, text: chunk.text }
-            }
-        };
+        if chunk.end.is_none() {
+            self.task.first.get_or_insert(self.task.app.now());
+            self.task.done.push(chunk.text.clone());
+        }
+        let piece = Piece::of(ticket.clone(), chunk);
         self.task.sender.send(Ok(piece)).await.is_ok()
     }
 
--- a/node/src/run/piece.rs
+++ b/node/src/run/piece.rs
@@ -1,7 +1,7 @@
 use {
     lentil_core::{
         error::{ErrorKind, Fault},
-        stream::EndReason,
+        stream::{Chunk, EndReason},
     },
     std::sync::Arc,
     tokio::sync::mpsc,
@@ -34,6 +34,15 @@
 }
 
 impl Piece {
+    /// A chunk of an engine as a piece of the stream with an id.
+    pub(super) fn of(ticket: Arc<str>, chunk: Chunk) -> Self {
+        let offset = chunk.offset;
+        match chunk.end {
+            Some(reason) => Self::End { ticket, offset, reason },
+            None => Self::Token { ticket, offset, text: chunk.text },
+        }
+    }
+
     /// The stream's id.
     pub fn ticket(&self) -> &str {
         match self {
--- a/node/src/run/resume.rs
+++ b/node/src/run/resume.rs
@@ -45,16 +45,7 @@
             Err(e) => Err(Fault::new(ErrorKind::TargetLost, e.to_string())),
             Ok(chunk) => match check.pass(&chunk) {
                 Err(e) => Err(Fault::new(ErrorKind::BadAnswer, e.to_string())),
-                Ok(()) => Ok(match chunk.end {
-                    Some(reason) => {
-                        Piece::End { ticket: ticket.clone(), offset: chunk.offset, reason }
-                    }
-                    None => Piece::Token {
-                        ticket: ticket.clone(),
-                        offset: chunk.offset,
-                        text: chunk.text,
-                    },
-                }),
+                Ok(()) => Ok(Piece::of(ticket.clone(), chunk)),
             },
         };
         let failed = piece.is_err();
