--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -1,8 +1,8 @@
 use {
-    super::LoadView,
+    super::{LoadView, Registration},
     crate::{
         clock::Time,
-        ids::{AdapterId, EngineId, Incarnation, ModelId, Region, Zone},
+        ids::{AdapterId, EngineId, Incarnation, ModelId, Region, TokenRate, Tokens, Zone},
         limit::Breaker,
         manifest::{EngineRates, EngineSpec, Role},
     },
@@ -13,6 +13,11 @@
 /// Share of a decoding engine's time that prefill may take; with more, tokens come too far apart.
 pub const MIX: f64 = 0.3;
 
+/// Prompt tokens per second of a registered engine until it is learned; a common accelerator's.
+const FIRST_PREFILL: f64 = 30_000.0;
+/// Tokens per second and slot of a registered engine until it is learned.
+const FIRST_STEPS: f64 = 60.0;
+
 /// What one instance knows of one engine.
 #[derive(Debug, Clone)]
 pub struct EngineView {
@@ -67,6 +72,32 @@
         }
     }
 
+    /// A target that has registered itself, with rates that hold until they are learned.
+    pub fn registered(target: &Registration) -> Self {
+        let slots = target.slots.max(1);
+        Self {
+            id: target.id.clone(),
+            address: target.address,
+            region: target.region.clone(),
+            zone: target.zone.clone(),
+            model: target.service.clone(),
+            rates: EngineRates {
+                prefill: TokenRate(FIRST_PREFILL),
+                decode: TokenRate(f64::from(slots) * FIRST_STEPS),
+                slots,
+                cache: Tokens(0),
+            },
+            role: target.role,
+            boot: target.boot,
+            adapters: SmallVec::new(),
+            load: LoadView::shared(),
+            breaker: Breaker::default(),
+            leaving: target.leaving,
+            changing: false,
+            away: false,
+        }
+    }
+
     /// Whether new work may go to it.
     pub fn open(&self, now: Time) -> bool {
         !self.leaving && !self.changing && !self.away && self.breaker.allows(now)
--- /dev/null
+++ b/core/src/fleet/learned.rs
@@ -0,0 +1,35 @@
+/// Weight of one observation once there are enough.
+const LATEST: f64 = 0.05;
+
+/// Mean that follows observations: the plain mean of the first ones, then a fading one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Learned {
+    mean: f64,
+    count: u32,
+}
+
+impl Learned {
+    /// Notes an observation.
+    ///
+    /// ```
+    /// # use lentil_core::fleet::Learned;
+    /// let mut learned = Learned::default();
+    /// assert_eq!(learned.mean(), None);
+    /// learned.observe(10.0);
+    /// learned.observe(20.0);
+    /// assert_eq!(learned.mean(), Some(15.0));
+    /// ```
+    pub fn observe(&mut self, value: f64) {
+        if !value.is_finite() {
+            return;
+        }
+        self.count = self.count.saturating_add(1);
+        let weight = (1.0 / f64::from(self.count)).max(LATEST);
+        self.mean += (value - self.mean) * weight;
+    }
+
+    /// The mean, once there is an observation.
+    pub fn mean(&self) -> Option<f64> {
+        (self.count > 0).then_some(self.mean)
+    }
+}
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -1,4 +1,5 @@
 use {
+    super::Shared,
     crate::{clock::Time, ids::Tokens},
     serde::{Deserialize, Serialize},
     std::{collections::VecDeque, time::Duration},
@@ -35,12 +36,19 @@
 /// The latest report of an engine's load, corrected by what was sent since.
 #[derive(Debug, Clone, Default)]
 pub struct LoadView {
+    /// Work in progress on an engine that is followed by what is sent to it, not by reports.
+    pub shared: Option<Shared>,
     report: Load,
     taken: Time,
     sends: VecDeque<Send>,
 }
 
 impl LoadView {
+    /// A view that follows what is sent and told of sends, not reports.
+    pub fn shared() -> Self {
+        Self { shared: Some(Shared::default()), ..Self::default() }
+    }
+
     /// Takes in a report of the load at `taken`; older ones than the latest are ignored.
     pub fn reported(&mut self, report: Load, taken: Time) {
         if taken < self.taken {
@@ -62,6 +70,10 @@
     /// The load expected now, if the engine prefills `rate` tokens per second and each of
     /// `instances` has sent it as much as this one since the report.
     pub fn expected(&self, rate: f64, instances: u32, now: Time) -> Load {
+        if let Some(shared) = &self.shared {
+            let held = shared.total(now);
+            return Load { queued: Tokens(held.tokens.into()), running: held.runs, waiting: 0 };
+        }
         let mut load = self.report;
         for send in &self.sends {
             load.queued += Tokens(send.prompt.0 * u64::from(instances));
@@ -78,6 +90,12 @@
         self.taken >= since && self.report.idle() && self.sends.is_empty()
     }
 
+    /// Whether nothing is known to be in work at `now`.
+    pub fn idle(&self, now: Time) -> bool {
+        let load = self.expected(0.0, 1, now);
+        load.idle()
+    }
+
     /// When the latest report was taken.
     pub fn taken(&self) -> Time {
         self.taken
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -2,10 +2,13 @@
 
 mod cache;
 mod engine;
+mod learned;
 mod load;
 mod prefix;
+mod registration;
+mod share;
 
-pub use {cache::*, engine::*, load::*, prefix::*};
+pub use {cache::*, engine::*, learned::*, load::*, prefix::*, registration::*, share::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/fleet/prefix.rs
+++ b/core/src/fleet/prefix.rs
@@ -13,6 +13,8 @@
 
 /// Hashes of a prompt's whole blocks, each covering all blocks before it.
 pub type Blocks = SmallVec<[PrefixHash; 16]>;
+/// Tokens of each block of a prompt.
+pub type Lengths = SmallVec<[u32; 8]>;
 
 /// FNV-1a over one block, seeded with the hash of the blocks before it.
 struct Fnv(u64);
--- /dev/null
+++ b/core/src/fleet/registration.rs
@@ -0,0 +1,30 @@
+use crate::{
+    ids::{EngineId, Incarnation, ModelId, Region, Zone},
+    manifest::Role,
+};
+use std::net::SocketAddr;
+
+/// What a target says of itself in the platform's directory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registration {
+    /// Its name; another start may bear it again.
+    pub id: EngineId,
+    /// Its start.
+    pub boot: Incarnation,
+    /// The service that it belongs to.
+    pub service: ModelId,
+    /// Where it listens; another target may have the address later.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: Region,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// What it is set to do; plain targets do what decoding engines do.
+    pub role: Role,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to go.
+    pub leaving: bool,
+    /// Version of its weights, if it has any.
+    pub weights: Option<u64>,
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod plan;
 pub mod poison;
 pub mod route;
+pub mod routes;
 pub mod settings;
 pub mod stream;
--- /dev/null
+++ b/core/src/limit/resend.rs
@@ -0,0 +1,77 @@
+use {
+    crate::clock::Time,
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Slices into which a window is divided.
+const SLICES: u32 = 10;
+/// Part of the allowance that is used: the members' views of their number differ for a while.
+const MARGIN: f64 = 0.8;
+
+/// Allowance of resends that all instances share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ResendLimit {
+    /// Resends for each request.
+    pub ratio: f64,
+    /// Resends beside those in each window, over all instances.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Slice {
+    number: u64,
+    requests: u32,
+    resends: u32,
+}
+
+/// Requests and resends of one service in a sliding window, as one instance sees them.
+#[derive(Debug, Clone, Default)]
+pub struct ResendBudget {
+    slices: VecDeque<Slice>,
+}
+
+impl ResendBudget {
+    /// Counts a request.
+    pub fn request(&mut self, limit: &ResendLimit, now: Time) {
+        self.slice(limit, now).requests += 1;
+    }
+
+    /// Takes a resend if the share of one of `instances` allows it.
+    ///
+    /// ```
+    /// # use {lentil_core::{clock::Time, limit::{ResendBudget, ResendLimit}}, std::time::Duration};
+    /// let limit = ResendLimit { ratio: 0.0, slack: 10.0, window: Duration::from_secs(10) };
+    /// let mut budget = ResendBudget::default();
+    /// let taken = (0..20).filter(|_| budget.take(&limit, 2, Time::ZERO)).count();
+    /// assert_eq!(taken, 4);
+    /// ```
+    pub fn take(&mut self, limit: &ResendLimit, instances: u32, now: Time) -> bool {
+        self.slice(limit, now);
+        let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
+        let resends: u32 = self.slices.iter().map(|s| s.resends).sum();
+        let share = limit.slack / f64::from(instances.max(1));
+        let allowed = (limit.ratio * f64::from(requests) + share) * MARGIN;
+        if f64::from(resends + 1) > allowed {
+            return false;
+        }
+        self.slice(limit, now).resends += 1;
+        true
+    }
+
+    fn slice(&mut self, limit: &ResendLimit, now: Time) -> &mut Slice {
+        let length = (limit.window / SLICES).as_micros().max(1) as u64;
+        let number = now.as_micros() / length;
+        // One slice more than the window has, since it begins within a slice.
+        let oldest = number.saturating_sub(u64::from(SLICES));
+        while self.slices.front().is_some_and(|s| s.number < oldest) {
+            self.slices.pop_front();
+        }
+        if self.slices.back().is_none_or(|s| s.number < number) {
+            self.slices.push_back(Slice { number, requests: 0, resends: 0 });
+        }
+        let last = self.slices.len() - 1;
+        &mut self.slices[last]
+    }
+}
--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -41,3 +41,32 @@
     }
     assert!(retries <= 1_050, "{retries}");
 }
+
+#[test]
+fn resend_budget_holds_in_every_window() {
+    use std::time::Duration;
+    let limit = ResendLimit { ratio: 0.2, slack: 12.0, window: Duration::from_secs(10) };
+    let mut budget = ResendBudget::default();
+    let mut taken: Vec<u64> = Vec::new();
+    let mut sent: Vec<u64> = Vec::new();
+    for ms in (0..60_000).step_by(20) {
+        let now = Time::from_millis(ms);
+        budget.request(&limit, now);
+        sent.push(ms);
+        if budget.take(&limit, 3, now) {
+            taken.push(ms);
+        }
+    }
+    assert!(taken.len() > 100, "{}", taken.len());
+    for start in (0..50_000).step_by(100) {
+        let within = |times: &[u64]| {
+            times.iter().filter(|t| (start..start + 10_000).contains(*t)).count() as f64
+        };
+        let bound = 0.2 * within(&sent) + 4.0;
+        assert!(
+            within(&taken) <= bound,
+            "{} resends from {start} ms, bound {bound}",
+            within(&taken)
+        );
+    }
+}
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -1,6 +1,7 @@
 use {
     super::{MemberInfo, MemberState},
     crate::{
+        fleet::Held,
         ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
         manifest::{Edit, ManifestRecord},
         order::Holder,
@@ -49,6 +50,8 @@
     SteppedDown,
     /// The request can't be answered.
     Refused,
+    /// Work of the sender in progress on targets, by datagram.
+    Sends(Vec<SendNote>),
 }
 
 /// Demand for one model's engines in one cell.
@@ -62,6 +65,15 @@
     pub demand: Demand,
 }
 
+/// Work in progress on one target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SendNote {
+    /// The target.
+    pub engine: EngineId,
+    /// What the sender has there.
+    pub held: Held,
+}
+
 /// A sign of life with news.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -1,5 +1,5 @@
 use {
-    super::{cost, Cost, Pick, Place, Work, MOVE, MOVE_BASE},
+    super::{cost, home_rank, shared_key, Cost, Pick, Place, Work, MOVE, MOVE_BASE},
     crate::{
         clock::Time,
         error::{ErrorKind, Fault},
@@ -40,11 +40,12 @@
     let mut prefill: Option<Candidate> = None;
     let mut decode: Option<Candidate> = None;
     let mut direct: Option<Candidate> = None;
+    let homes = homes(engines, work, now);
     for (index, engine) in engines.iter().enumerate() {
         if !fits(engine, work, now) {
             continue;
         }
-        let cost = cost(engine, index, cache, work, place, now);
+        let cost = cost(engine, index, cache, work, place, homes.contains(&Some(index)), now);
         let found = Candidate { index, cost };
         match engine.role {
             Role::Prefill => keep(&mut prefill, found, |c| c.prefill + c.way + c.doubt),
@@ -59,7 +60,10 @@
     let whole = direct.map(|d| mixed(d, work));
     let split = prefill.zip(decode).map(|(p, d)| split(p, d, work));
     match (whole, split) {
-        (Some((a, x)), Some((b, y))) => Ok(if x <= y { a } else { b }),
+        (Some((a, x)), Some((b, y))) => {
+            let small = work.prompt - a.hit < place.small;
+            Ok(if small || x <= y { a } else { b })
+        }
         (Some((pick, _)), None) | (None, Some((pick, _))) => Ok(pick),
         (None, None) => {
             let text = format!("no engine is open for model {:?}", work.model.as_str());
@@ -68,9 +72,20 @@
     }
 }
 
+/// Homes of the prompt's shared part among the engines of each role.
+fn homes(engines: &[EngineView], work: &Work, now: Time) -> [Option<usize>; 2] {
+    let Some(key) = shared_key(work) else { return [None; 2] };
+    [Role::Prefill, Role::Decode].map(|role| {
+        let open = |e: &EngineView| e.role == role && fits(e, work, now);
+        let ranked = engines.iter().enumerate().filter(|(_, e)| open(e));
+        ranked.max_by_key(|(_, e)| home_rank(key, e)).map(|(index, _)| index)
+    })
+}
+
 fn fits(engine: &EngineView, work: &Work, now: Time) -> bool {
     let loaded = work.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
-    engine.model == work.model && loaded && engine.open(now)
+    let avoided = work.avoid.contains(&engine.id);
+    engine.model == work.model && loaded && !avoided && engine.open(now)
 }
 
 fn keep(best: &mut Option<Candidate>, found: Candidate, score: impl Fn(&Cost) -> f64) {
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -1,8 +1,8 @@
 use {
-    super::{Place, Work},
+    super::{shared_tokens, Place, Work, HOME_HIT},
     crate::{
         clock::Time,
-        fleet::{CacheIndex, EngineView, Load, BLOCK_TOKENS},
+        fleet::{CacheIndex, EngineView, Load},
         ids::Tokens,
         manifest::Role,
     },
@@ -16,6 +16,8 @@
 const OLDEST: f64 = 5.0;
 /// Seconds of work by which a load may change in a second.
 const DRIFT: f64 = 0.05;
+/// Difference in seconds below which engines with known work count as equal.
+const EQUAL: f64 = 0.002;
 const OTHER_ZONE: f64 = 0.002; // seconds
 const OTHER_REGION: f64 = 0.25; // seconds
 
@@ -49,11 +51,15 @@
     cache: &CacheIndex,
     work: &Work,
     place: &Place,
+    home: bool,
     now: Time,
 ) -> Cost {
     let rate = engine.prefill_rate();
     let load = engine.load.expected(rate, place.instances, now);
-    let hit = cache.hit(&engine.id, &work.blocks) * BLOCK_TOKENS.0 as f64;
+    let mut hit = cache.hit_tokens(&engine.id, &work.blocks, &work.lengths);
+    if home {
+        hit = hit.max(shared_tokens(work).0 as f64 * HOME_HIT);
+    }
     let hit = Tokens((hit as u64).min(work.prompt.0));
     let todo = (load.queued + work.prompt - hit).0 as f64;
     let queue = engine.load.expected(rate, 1, now).queued.0 as f64 / rate;
@@ -94,6 +100,9 @@
 
 /// A number from 0 to the seconds by which the load may have changed since its report.
 fn doubt(engine: &EngineView, place: &Place, index: usize, now: Time) -> f64 {
+    if engine.load.shared.is_some() {
+        return place.random(index) * EQUAL;
+    }
     let age = (now - engine.load.taken()).as_secs_f64().min(OLDEST);
     place.random(index) * age * DRIFT
 }
--- a/core/src/route/mod.rs
+++ b/core/src/route/mod.rs
@@ -2,9 +2,10 @@
 
 mod choose;
 mod cost;
+mod home;
 mod work;
 
-pub use {choose::*, cost::*, work::*};
+pub use {choose::*, cost::*, home::*, work::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -35,6 +35,8 @@
         prompt: Tokens(prompt as u64),
         output: Tokens(100),
         blocks: prefix_blocks(&text),
+        lengths: Default::default(),
+        avoid: Default::default(),
         class: ClassSpec {
             first: Millis(480),
             between: Millis(78),
@@ -45,7 +47,13 @@
 }
 
 fn place() -> Place {
-    Place { region: "nl".parse().unwrap(), zone: "a".parse().unwrap(), instances: 1, salt: 7 }
+    Place {
+        region: "nl".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        instances: 1,
+        small: Tokens(0),
+        salt: 7,
+    }
 }
 
 const NOW: Time = Time::ZERO;
--- a/core/src/route/work.rs
+++ b/core/src/route/work.rs
@@ -1,9 +1,10 @@
 use {
     crate::{
-        fleet::Blocks,
-        ids::{AdapterId, ModelId, Region, Tokens, Zone},
+        fleet::{Blocks, Lengths},
+        ids::{AdapterId, EngineId, ModelId, Region, Tokens, Zone},
         manifest::ClassSpec,
     },
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -20,6 +21,10 @@
     pub output: Tokens,
     /// Blocks of the prompt.
     pub blocks: Blocks,
+    /// Tokens of each block; empty if all have [`crate::fleet::BLOCK_TOKENS`].
+    pub lengths: Lengths,
+    /// Engines that failed the request already.
+    pub avoid: SmallVec<[EngineId; 2]>,
     /// Targets of its class.
     pub class: ClassSpec,
 }
@@ -33,6 +38,8 @@
     pub zone: Zone,
     /// Instances that send to the same engines, this one included.
     pub instances: u32,
+    /// Prompts with fewer tokens to prefill are not split over two engines.
+    pub small: Tokens,
     /// Different for each request, so that instances with the same view choose differently.
     pub salt: u64,
 }
--- a/core/src/settings/instance.rs
+++ b/core/src/settings/instance.rs
@@ -1,4 +1,5 @@
 use {
+    super::HostedSettings,
     crate::{
         ids::{Bytes, InstanceId, Millis, Region, Zone},
         manifest::{parse_json, Problem},
@@ -35,6 +36,9 @@
     /// How run-once requests are recorded.
     #[serde(default)]
     pub claims: ClaimSettings,
+    /// Present on a platform that gives the instance its targets and routes.
+    #[serde(default)]
+    pub hosted: Option<HostedSettings>,
     /// Least level of logged lines: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log")]
     pub log: String,
@@ -50,7 +54,8 @@
 pub struct MeshSettings {
     /// Address for both datagrams and connections.
     pub listen: SocketAddr,
-    /// Secret that all instances share.
+    /// Secret that all instances share; a hosted instance reads it from the store.
+    #[serde(default)]
     pub key: String,
     /// Time between heartbeats.
     #[serde(default = "default_beat")]
@@ -168,7 +173,8 @@
         };
         let levels = ["error", "warn", "info", "debug"];
         require(levels.contains(&self.log.as_str()), "log", "no such level");
-        require(self.mesh.key.len() >= MIN_KEY, "mesh.key", "key has fewer than 16 bytes");
+        let key = self.mesh.key.len() >= MIN_KEY || self.hosted.is_some();
+        require(key, "mesh.key", "key has fewer than 16 bytes");
         require(self.mesh.beat.0 >= 10, "mesh.beat", "shorter than 10 ms");
         require(self.limits.body.0 > 0, "limits.body", "must be greater than 0");
         require(self.limits.open > 0, "limits.open", "must be greater than 0");
@@ -177,6 +183,7 @@
         let margin = self.control.margin.0 * 2 < self.control.lease.0;
         require(margin, "control.margin", "must be less than half of control.lease");
         require(self.claims.buckets > 0, "claims.buckets", "must be greater than 0");
+        found.extend(self.hosted.iter().flat_map(HostedSettings::check));
         found
     }
 }
--- a/core/src/settings/mod.rs
+++ b/core/src/settings/mod.rs
@@ -1,8 +1,9 @@
 //! Settings of one entry instance.
 
+mod hosted;
 mod instance;
 
-pub use instance::*;
+pub use {hosted::*, instance::*};
 
 #[cfg(test)]
 mod tests;
--- a/node/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,5 +2,5 @@
 
 fn main() {
     let args: lentilgrade::daemon::Args = argh::from_env();
-    std::process::exit(lentilgrade::daemon::run(&args));
+    std::process::exit(lentilgrade::daemon::run(&args, lentil_platform::serve));
 }
--- a/fakes/examples/demo.rs
+++ b/fakes/examples/demo.rs
@@ -41,7 +41,9 @@
 fn main() -> Result<()> {
     if let Some(settings) = env::var_os(INSTANCE) {
         let args = lentilgrade::daemon::Args { settings: PathBuf::from(settings), check: false };
-        std::process::exit(lentilgrade::daemon::run(&args));
+        std::process::exit(lentilgrade::daemon::run(&args, |_| {
+            anyhow::bail!("the demo runs on its own stand-ins")
+        }));
     }
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     runtime.block_on(demo())
--- a/fakes/examples/slopes.rs
+++ b/fakes/examples/slopes.rs
@@ -95,6 +95,8 @@
             prompt: Tokens(3_000),
             output: Tokens(200),
             blocks,
+            lengths: Default::default(),
+            avoid: Default::default(),
             class: ClassSpec {
                 first: Millis(480),
                 between: Millis(78),
@@ -108,6 +110,7 @@
             region: "nl".parse().expect("the name is good"),
             zone: "a".parse().expect("the name is good"),
             instances: 6,
+            small: Tokens(0),
             salt: 1,
         };
         let micros = time(2_000, || {
--- a/fakes/src/model/world.rs
+++ b/fakes/src/model/world.rs
@@ -300,6 +300,8 @@
             prompt: Tokens(arrival.prompt),
             output: Tokens(kind.output as u64),
             blocks: arrival.blocks.clone(),
+            lengths: Default::default(),
+            avoid: Default::default(),
             class: ClassSpec {
                 first: millis(FIRST),
                 between: millis(BETWEEN),
@@ -322,6 +324,7 @@
             region: "nl".parse().expect("the name is good"),
             zone: "a".parse().expect("the name is good"),
             instances: INSTANCES as u32,
+            small: Tokens(0),
             salt: self.rng.gen(),
         };
         let instance = &mut self.instances[at];
--- a/fakes/src/server/host.rs
+++ b/fakes/src/server/host.rs
@@ -1,6 +1,6 @@
 use {
     hyper::{body::Incoming, Request, Response},
-    lentilgrade::http::{serve, Body},
+    lentilgrade::http::{serve, Body, Limits},
     std::{
         convert::Infallible,
         future::Future,
@@ -45,7 +45,7 @@
         let task = tokio::spawn(async move {
             // Dropped with the task, which stops the server.
             let (_stop, stopped) = watch::channel(false);
-            serve(listener, service, stopped, Duration::ZERO).await;
+            serve(listener, service, stopped, Duration::ZERO, Limits::default()).await;
         });
         *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
     }
--- a/fakes/src/site/instance.rs
+++ b/fakes/src/site/instance.rs
@@ -53,6 +53,7 @@
             limits: LimitSettings::default(),
             control,
             claims: ClaimSettings::default(),
+            hosted: None,
             log: "warn".to_owned(),
         }
     }
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         http::{call, json_request, read_all, request, Answered, Body, CallError, Connection},
-        ports::{Authority, Chunks, Command, Engine, EngineError, Job, LoadReport},
+        ports::{Answer, Authority, Chunks, Command, Engine, EngineError, Job, LoadReport, Part},
     },
     bytes::BytesMut,
     futures_util::{
@@ -138,21 +138,22 @@
 }
 
 impl Engine for HttpEngine {
-    fn generate(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<Chunks, EngineError>> {
+    fn generate(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<Answer, EngineError>> {
         async move {
             let request = json_request(Method::POST, at, "/v1/runs", &job);
-            self.open(at, request).await.map(chunks)
+            let chunks = self.open(at, request).await.map(chunks)?;
+            Ok(Answer { head: None, parts: chunks.map(|c| c.map(Part::Chunk)).boxed() })
         }
         .boxed()
     }
 
-    fn prefill(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<(), EngineError>> {
+    fn prefill(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<RunId, EngineError>> {
         async move {
             let request = json_request(Method::POST, at, "/v1/prefills", &job);
             let body = self.open(at, request).await?;
             let done = timeout(SILENCE, read_all(body, MAX_REFUSAL)).await;
             done.map_err(|_| EngineError::Timeout)?
-                .map(|_| ())
+                .map(|_| job.run)
                 .map_err(|e| EngineError::Lost(e.to_string()))
         }
         .boxed()
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -1,8 +1,8 @@
 use {
     lentil_core::{
         clock::Time,
-        fleet::EngineView,
-        ids::{EngineId, ServiceId, TargetId, Zone},
+        fleet::{EngineView, Learned, Registration},
+        ids::{EngineId, ModelId, ServiceId, TargetId, TokenRate, Zone},
         limit::Breaker,
         manifest::{Manifest, Role},
     },
@@ -26,6 +26,16 @@
     /// Engines that run a suspect of this instance.
     pub suspects: HashSet<EngineId>,
     pauses: HashMap<EngineId, Pause>,
+    learned: HashMap<ModelId, Rates>,
+}
+
+/// What answers have shown of a service's targets.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Rates {
+    /// Prompt tokens per second.
+    pub prefill: Learned,
+    /// Seconds that a request occupies a slot.
+    pub service: Learned,
 }
 
 /// What is known of a target of a plain service.
@@ -50,6 +60,19 @@
     since: Time,
 }
 
+impl Rates {
+    fn apply(&self, engine: &mut EngineView) {
+        if let Some(prefill) = self.prefill.mean() {
+            engine.rates.prefill = TokenRate(prefill.max(1.0));
+        }
+        if let Some(seconds) = self.service.mean() {
+            // A plain request counts as one token.
+            let slots = f64::from(engine.rates.slots);
+            engine.rates.decode = TokenRate(slots / seconds.max(1e-3));
+        }
+    }
+}
+
 impl Fleet {
     /// Follows a manifest and keeps what is known of engines that stay.
     pub fn follow(&mut self, manifest: &Manifest) {
@@ -72,6 +95,44 @@
         self.follow_targets(manifest);
     }
 
+    /// Puts in what a target says of itself; true if that is new.
+    pub fn register(&mut self, target: &Registration) -> bool {
+        let learned = self.learned.get(&target.service).copied().unwrap_or_default();
+        let Some(engine) = self.engines.iter_mut().find(|e| e.id == target.id) else {
+            let mut engine = EngineView::registered(target);
+            learned.apply(&mut engine);
+            self.engines.push(engine);
+            return true;
+        };
+        if engine.boot != target.boot || engine.address != target.address {
+            *engine = EngineView::registered(target);
+            learned.apply(engine);
+            return true;
+        }
+        // A target that is leaving does not come back in the same incarnation.
+        let leaving = engine.leaving || target.leaving;
+        let changed = engine.leaving != leaving || engine.role != target.role;
+        engine.leaving = leaving;
+        engine.role = target.role;
+        engine.model = target.service.clone();
+        changed
+    }
+
+    /// Takes out a target whose entry is gone; true if it was there.
+    pub fn deregister(&mut self, id: &EngineId) -> bool {
+        let before = self.engines.len();
+        self.engines.retain(|e| e.id != *id);
+        before != self.engines.len()
+    }
+
+    /// Notes what an answer has shown of a service, for all its targets.
+    pub fn learn(&mut self, service: &ModelId, observe: impl FnOnce(&mut Rates)) {
+        let rates = self.learned.entry(service.clone()).or_default();
+        observe(rates);
+        let rates = *rates;
+        self.engines.iter_mut().filter(|e| e.model == *service).for_each(|e| rates.apply(e));
+    }
+
     fn follow_targets(&mut self, manifest: &Manifest) {
         let mut known = std::mem::take(&mut self.targets);
         for (service, spec) in &manifest.services {
--- a/node/src/app/gate.rs
+++ b/node/src/app/gate.rs
@@ -3,7 +3,7 @@
         admit::Shares,
         clock::Time,
         ids::{CellId, ModelId, Tokens},
-        limit::RetryBudget,
+        limit::{ResendBudget, ResendLimit, RetryBudget},
         plan::{Demand, DemandMeter},
     },
     std::collections::HashMap,
@@ -24,19 +24,33 @@
     /// Work that arrives for each cell and model.
     pub meters: HashMap<(CellId, ModelId), DemandMeter>,
     lengths: HashMap<ModelId, f64>,
+    resends: HashMap<ModelId, ResendBudget>,
+    limit: ResendLimit,
 }
 
 impl Gate {
     /// Tables with nothing noted yet.
-    pub fn new(retries: f64) -> Self {
+    pub fn new(retries: f64, limit: ResendLimit) -> Self {
         Self {
             shares: Shares::default(),
             retries: RetryBudget::new(retries),
             meters: HashMap::new(),
             lengths: HashMap::new(),
+            resends: HashMap::new(),
+            limit,
         }
     }
 
+    /// Counts a request for a service.
+    pub fn request(&mut self, service: &ModelId, now: Time) {
+        self.resends.entry(service.clone()).or_default().request(&self.limit, now);
+    }
+
+    /// Takes a resend to a service from the share of one of `instances`.
+    pub fn resend(&mut self, service: &ModelId, instances: u32, now: Time) -> bool {
+        self.resends.entry(service.clone()).or_default().take(&self.limit, instances, now)
+    }
+
     /// Notes work that arrived for a cell's engines.
     pub fn arrived(&mut self, cell: &CellId, model: &ModelId, demand: Demand, now: Time) {
         self.meters
--- a/node/src/app/ids.rs
+++ b/node/src/app/ids.rs
@@ -3,28 +3,30 @@
         clock::Time,
         ids::{Incarnation, Millis},
     },
+    nix::time::{clock_gettime, ClockId},
     rand::Rng,
     std::{
         str::FromStr,
-        time::{Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
 
 /// Reads the clocks; the only place that does.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// A clock whose origin is now.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: boot_time() }
     }
 
-    /// The present time on the monotonic clock.
+    /// The present time on a clock that never goes back and counts time spent suspended, so that
+    /// what expired meanwhile is seen to have expired.
     pub fn now(&self) -> Time {
-        Time::from_micros(self.origin.elapsed().as_micros() as u64)
+        Time::from_micros(boot_time().saturating_sub(self.origin).as_micros() as u64)
     }
 
     /// Milliseconds since 1970.
@@ -39,6 +41,10 @@
     }
 }
 
+fn boot_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
+
 /// A name made of a prefix and 96 random bits.
 ///
 /// # Panics
--- a/node/src/app/shared.rs
+++ b/node/src/app/shared.rs
@@ -12,13 +12,18 @@
         error::{ErrorKind, Fault},
         fleet::CacheIndex,
         ids::Revision,
+        limit::ResendLimit,
         manifest::{ManifestIndex, ManifestRecord},
         mesh::{MemberInfo, Pace, View},
         order::Holder,
         poison::Quarantine,
+        routes::RouteTable,
         settings::Settings,
     },
-    std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
+        time::Duration,
+    },
     tokio::{
         net::UdpSocket,
         sync::{watch, Semaphore},
@@ -78,6 +83,7 @@
     /// The instance's phase.
     pub phase: watch::Sender<Phase>,
     force: RwLock<Option<InForce>>,
+    routes: RwLock<Option<Arc<RouteTable>>>,
     view: Mutex<View>,
     fleet: Mutex<Fleet>,
     cache: Mutex<CacheIndex>,
@@ -88,6 +94,13 @@
     heard: Mutex<Revision>,
 }
 
+fn resends(settings: &Settings) -> ResendLimit {
+    let resends = settings.hosted.as_ref().map(|h| h.resends);
+    resends.map_or(ResendLimit { ratio: 0.0, slack: 0.0, window: Duration::from_secs(10) }, |r| {
+        ResendLimit { ratio: r.ratio, slack: r.slack, window: Duration::from_secs_f64(r.window) }
+    })
+}
+
 /// A panic in another worker leaves the tables usable: each change to them is one step.
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -110,7 +123,7 @@
         let claims = ClaimBook::new(ports.store.clone(), settings.claims.clone(), clock);
         Self {
             view: Mutex::new(View::new(info, pace)),
-            gate: Mutex::new(Gate::new(settings.limits.retries)),
+            gate: Mutex::new(Gate::new(settings.limits.retries, resends(&settings))),
             open: Arc::new(Semaphore::new(settings.limits.open)),
             meter: Meter::new(),
             phase: watch::Sender::new(Phase::Serving),
@@ -118,6 +131,7 @@
             socket: OnceLock::new(),
             seats: Seats::default(),
             force: RwLock::default(),
+            routes: RwLock::default(),
             fleet: Mutex::default(),
             cache: Mutex::default(),
             quarantine: Mutex::default(),
@@ -208,6 +222,26 @@
         true
     }
 
+    /// The routes in force.
+    ///
+    /// # Errors
+    /// [`ErrorKind::NotReady`] before there are any.
+    pub fn routes(&self) -> Result<Arc<RouteTable>, Fault> {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner).clone();
+        routes.ok_or_else(|| Fault::new(ErrorKind::NotReady, "no routes are known yet"))
+    }
+
+    /// Puts routes in force if they are newer than what is; true if they were.
+    pub fn enforce_routes(&self, table: RouteTable) -> bool {
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        if routes.as_ref().is_some_and(|r| r.version >= table.version) {
+            return false;
+        }
+        self.meter.revision.set(table.version.0 as i64);
+        *routes = Some(Arc::new(table));
+        true
+    }
+
     /// Notes a revision that another instance has.
     pub fn heard_revision(&self, revision: Revision) {
         let mut heard = locked(&self.heard);
@@ -216,8 +250,11 @@
 
     /// Whether callers should be sent here.
     pub fn ready(&self) -> bool {
-        let revision = self.revision();
         let serving = *self.phase.borrow() == Phase::Serving;
+        if self.settings.hosted.is_some() {
+            return serving && self.routes().is_ok() && !self.fleet().engines.is_empty();
+        }
+        let revision = self.revision();
         serving && revision.0 > 0 && revision >= *locked(&self.heard)
     }
 }
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -10,7 +10,7 @@
     futures_util::{stream::unfold, StreamExt},
     hyper::{header, Response},
     lentil_core::{
-        error::Fault,
+        error::{ErrorKind, Fault},
         fleet::{count_tokens, prefix_blocks},
         ids::{Fingerprint, Tokens},
         route::Work,
@@ -59,12 +59,15 @@
         work: Work {
             prompt: count_tokens(&ask.prompt),
             blocks: prefix_blocks(&ask.prompt),
+            lengths: Default::default(),
+            avoid: Default::default(),
             model: resolved.model,
             adapter: resolved.adapter,
             output,
             class,
         },
         prompt: ask.prompt.clone(),
+        routed: None,
     })
 }
 
@@ -87,6 +90,10 @@
                 let answer = shape.whole(&ticket, model, text, reason.to_string(), usage);
                 return Ok(json(200, &answer));
             }
+            Piece::Head(_) | Piece::Bytes(_) | Piece::Done => {
+                let text = "a generated answer has a piece that is passed on";
+                return Err(Fault::new(ErrorKind::BadAnswer, text));
+            }
         }
     }
 }
--- a/node/src/commands/mod.rs
+++ b/node/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod generate;
 mod once;
+mod pass_on;
 mod service;
 
-pub use {generate::*, service::*};
+pub use {generate::*, pass_on::*, service::*};
--- /dev/null
+++ b/node/src/commands/pass_on.rs
@@ -0,0 +1,108 @@
+use {
+    crate::{
+        app::App,
+        ports::RawCall,
+        run::{self, Pieces, Request, Routed},
+    },
+    lentil_core::{
+        clock::Time,
+        error::{ErrorKind, Fault},
+        fleet::{Blocks, Lengths},
+        ids::{Fingerprint, ModelId, Tokens},
+        manifest::ClassSpec,
+        route::Work,
+        routes::{Route, RouteTable},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// What a caller says of a request that is passed on.
+#[derive(Debug, Clone, Default)]
+pub struct CallFacts {
+    /// How long the caller waits, from the request's arrival.
+    pub patience: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens of output expected.
+    pub output: Tokens,
+    /// Tokens of output at most.
+    pub max: u32,
+    /// Names of the prompt's parts, in order.
+    pub parts: Blocks,
+    /// Their lengths.
+    pub lengths: Lengths,
+    /// The last event that the caller has, if it goes on from there.
+    pub after: Option<u64>,
+}
+
+/// The route for a request, by the table in force.
+///
+/// # Errors
+/// [`ErrorKind::NotReady`] before there are routes, [`ErrorKind::NoRoute`] if none fits.
+pub fn find_route(
+    app: &App,
+    host: &str,
+    path: &str,
+) -> Result<(Arc<RouteTable>, Arc<Route>), Fault> {
+    let table = app.routes()?;
+    let path = path.split('?').next().unwrap_or(path);
+    match table.route(host, path).cloned() {
+        Some(route) => Ok((table, route)),
+        None => {
+            let text = format!("no route of {host:?} fits {path:?}");
+            Err(Fault::new(ErrorKind::NoRoute, text))
+        }
+    }
+}
+
+/// Passes a request on to a target of its route; the pieces of the answer come as they are made.
+///
+/// # Errors
+/// [`ErrorKind::NoTarget`] if the route has no service.
+pub fn pass_on(
+    app: Arc<App>,
+    (table, route): (Arc<RouteTable>, Arc<Route>),
+    call: RawCall,
+    facts: CallFacts,
+    arrived: Time,
+) -> Result<Pieces, Fault> {
+    let Some(service) = route.service(rand::random()) else {
+        return Err(Fault::new(ErrorKind::NoTarget, "the route has no service"));
+    };
+    let spec = table.services.get(service);
+    let model: ModelId =
+        service.as_str().parse().map_err(|_| Fault::new(ErrorKind::NoTarget, "bad service"))?;
+    let timeout = route.timeout.span();
+    let patience = facts.patience.unwrap_or(timeout).min(timeout);
+    let request = Request {
+        print: Fingerprint::of(&[call.path.as_bytes(), &call.body]),
+        caller: PASSED.parse().map_err(|_| Fault::new(ErrorKind::BadRequest, PASSED))?,
+        workspace: PASSED.parse().map_err(|_| Fault::new(ErrorKind::BadRequest, PASSED))?,
+        share: 1.0,
+        class: route.name.clone(),
+        arrived,
+        max: facts.max,
+        work: Work {
+            model,
+            adapter: None,
+            prompt: facts.prompt,
+            output: facts.output,
+            blocks: facts.parts,
+            lengths: facts.lengths,
+            avoid: Default::default(),
+            class: ClassSpec { ..route.class.clone() },
+        },
+        prompt: String::new(),
+        routed: Some(Routed {
+            call: Arc::new(call),
+            route,
+            deadline: arrived + patience,
+            after: facts.after,
+            connections: spec.map_or(0, |s| s.connections),
+        }),
+    };
+    Ok(run::start(app, request))
+}
+
+/// Caller and workspace of requests that are passed on: the platform tells of neither.
+const PASSED: &str = "passed-on";
--- a/node/src/daemon/args.rs
+++ b/node/src/daemon/args.rs
@@ -63,7 +63,7 @@
 }
 
 /// The whole program: reads settings, serves, and gives the exit code.
-pub fn run(args: &Args) -> i32 {
+pub fn run(args: &Args, hosted: impl FnOnce(Settings) -> Result<()>) -> i32 {
     let settings = match read_settings(&args.settings) {
         Ok(settings) => settings,
         Err(error) => {
@@ -75,7 +75,12 @@
         println!("settings are good");
         return 0;
     }
-    match serve_settings(settings) {
+    let hosts = settings.hosted.is_some();
+    let served = match hosts {
+        true => start_log(&settings).and_then(|()| hosted(settings)),
+        false => serve_settings(settings),
+    };
+    match served {
         Ok(()) => 0,
         Err(error) => {
             log::error!("daemon: {error:#}");
--- a/node/src/daemon/mod.rs
+++ b/node/src/daemon/mod.rs
@@ -1,9 +1,11 @@
 //! Start and stop of an instance.
 
 mod args;
+mod hosted;
 mod serve;
 
 pub use {
     args::{ports, read_settings, run, Args, BAD_SETTINGS},
+    hosted::{run_hosted, HostedSockets},
     serve::{run as run_instance, serve, Sockets},
 };
--- a/node/src/follow/mod.rs
+++ b/node/src/follow/mod.rs
@@ -3,9 +3,13 @@
 mod engines;
 mod list;
 mod manifest;
+mod routes;
+mod targets;
 
 pub use {
     engines::follow_engines,
     list::follow_list,
     manifest::{follow_store, pull, read_manifest, MANIFEST},
+    routes::follow_routes,
+    targets::follow_targets,
 };
--- /dev/null
+++ b/node/src/follow/targets.rs
@@ -0,0 +1,157 @@
+use {
+    crate::{
+        app::App,
+        ports::{Directory, DirectoryError, TargetChange, TargetChanges},
+    },
+    lentil_core::{
+        clock::Time,
+        ids::{EngineId, Revision},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Pause between two looks for changes: targets renew their entries often, and each look is a
+/// call that is counted; leaving targets must be known within two seconds.
+const PACE: Duration = Duration::from_millis(600);
+/// Longest wait of one look.
+const WAIT: Duration = Duration::from_secs(1);
+/// Pause after a look that failed.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time after an outage within which targets whose entries lapsed enter themselves again.
+const RETURN: Duration = Duration::from_millis(2_200);
+/// Time between two readings of all targets, in case a change was never told.
+const REREAD: Duration = Duration::from_secs(10);
+
+/// Follows the targets of the directory for ever.
+pub async fn follow_targets(app: Arc<App>, directory: Arc<dyn Directory>) {
+    let mut follower = Follower::default();
+    loop {
+        match follower.look(&app, directory.as_ref()).await {
+            Ok(()) => sleep(PACE).await,
+            Err(error) => {
+                follower.failed(&app, &error);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// What is known of the directory's state.
+#[derive(Default)]
+struct Follower {
+    at: Option<Revision>,
+    read: Option<Time>,
+    outage: Option<Time>,
+    failing: bool,
+    /// Targets whose entries are gone since an outage, which may be back.
+    missing: BTreeMap<EngineId, Time>,
+}
+
+impl Follower {
+    async fn look(&mut self, app: &App, directory: &dyn Directory) -> Result<(), DirectoryError> {
+        let now = app.now();
+        let stale = self.read.is_none_or(|t| now - t > REREAD);
+        let found = match self.at.filter(|_| !stale) {
+            Some(at) => directory.target_changes(at, WAIT).await?,
+            None => {
+                let all = directory.targets().await?;
+                self.read = Some(now);
+                self.vanished(app, &all);
+                all
+            }
+        };
+        self.recovered(app);
+        self.at = Some(found.revision);
+        for change in found.changes {
+            self.take(app, change);
+        }
+        self.drop_missing(app);
+        Ok(())
+    }
+
+    fn failed(&mut self, app: &App, error: &DirectoryError) {
+        self.at = None;
+        if *error == DirectoryError::Gone {
+            return log::info!("directory: history is gone, reads all targets again");
+        }
+        self.outage = Some(app.now());
+        if !self.failing {
+            log::warn!("directory: lost: {error}");
+        }
+        self.failing = true;
+    }
+
+    fn recovered(&mut self, app: &App) {
+        if self.failing {
+            log::info!("directory: regained");
+            self.outage = Some(app.now());
+        }
+        self.failing = false;
+    }
+
+    /// Treats targets that a full reading does not name as gone.
+    fn vanished(&mut self, app: &App, all: &TargetChanges) {
+        let named: BTreeSet<&EngineId> = all
+            .changes
+            .iter()
+            .filter_map(|c| match c {
+                TargetChange::There(target) => Some(&target.id),
+                TargetChange::Gone(_) => None,
+            })
+            .collect();
+        let known: Vec<EngineId> = app.fleet().engines.iter().map(|e| e.id.clone()).collect();
+        for id in known.into_iter().filter(|id| !named.contains(id)) {
+            self.gone(app, id);
+        }
+    }
+
+    fn take(&mut self, app: &App, change: TargetChange) {
+        match change {
+            TargetChange::There(target) => {
+                self.missing.remove(&target.id);
+                if app.fleet().register(&target) {
+                    log::info!(
+                        "directory: target={} boot={} service={} address={} role={} leaving={}",
+                        target.id,
+                        target.boot,
+                        target.service,
+                        target.address,
+                        target.role,
+                        target.leaving
+                    );
+                }
+            }
+            TargetChange::Gone(id) => self.gone(app, id),
+        }
+    }
+
+    fn gone(&mut self, app: &App, id: EngineId) {
+        let now = app.now();
+        let back = self.outage.is_some_and(|t| now - t < RETURN);
+        if back {
+            self.missing.entry(id).or_insert(now);
+        } else if app.fleet().deregister(&id) {
+            log::info!("directory: target={id} gone");
+        }
+    }
+
+    fn drop_missing(&mut self, app: &App) {
+        let now = app.now();
+        if self.outage.is_some_and(|t| now - t < RETURN) {
+            return;
+        }
+        for (id, since) in std::mem::take(&mut self.missing) {
+            if app.fleet().deregister(&id) {
+                log::info!(
+                    "directory: target={id} gone, missing for {} ms",
+                    (now - since).as_millis()
+                );
+            }
+        }
+    }
+}
--- a/node/src/front/sse.rs
+++ b/node/src/front/sse.rs
@@ -103,6 +103,8 @@
         let (offset, text, end) = match piece {
             Piece::Token { offset, text, .. } => (offset + 1, text.clone(), None),
             Piece::End { offset, reason, .. } => (*offset, String::new(), Some(reason.to_string())),
+            Piece::Bytes(bytes) => return bytes.clone(),
+            Piece::Head(_) | Piece::Done => return Bytes::new(),
         };
         let ticket = piece.ticket();
         let object = match self {
@@ -115,7 +117,7 @@
         let data = serde_json::to_string(&chunk).unwrap_or_default();
         let done = match piece {
             Piece::End { .. } => "data: [DONE]\n\n",
-            Piece::Token { .. } => "",
+            _ => "",
         };
         format!("id: {ticket}:{offset}\ndata: {data}\n\n{done}").into()
     }
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod pool;
 mod server;
 
-pub use {body::*, client::*, server::*};
+pub use {body::*, client::*, pool::*, server::*};
--- a/node/src/http/server.rs
+++ b/node/src/http/server.rs
@@ -1,7 +1,10 @@
 use {
     super::Body,
     hyper::{body::Incoming, Request, Response},
-    hyper_util::{rt::TokioIo, service::TowerToHyperService},
+    hyper_util::{
+        rt::{TokioIo, TokioTimer},
+        service::TowerToHyperService,
+    },
     std::{convert::Infallible, future::Future, time::Duration},
     tokio::{
         net::TcpListener,
@@ -15,12 +18,29 @@
 /// Pause after a connection could not be accepted, as when file descriptors have run out.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// What callers may do on a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Size of a request's head, in bytes.
+    pub head: usize,
+    /// Time until a request's head is there, idle time included.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        // A minute is longer than callers keep a connection that they do not use.
+        Self { head: 64 << 10, idle: Duration::from_secs(60) }
+    }
+}
+
 /// Serves connections until `stop` turns true, then lets running requests end within `drain`.
 pub async fn serve<S>(
     listener: TcpListener,
     service: S,
     mut stop: watch::Receiver<bool>,
     drain: Duration,
+    limits: Limits,
 ) where
     S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
         + Clone
@@ -44,6 +64,9 @@
         let (service, mut stop) = (TowerToHyperService::new(service.clone()), stop.clone());
         connections.spawn(async move {
             let mut serving = std::pin::pin!(hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(limits.idle)
+                .max_buf_size(limits.head)
                 .serve_connection(TokioIo::new(stream), service));
             let stopped = tokio::select! {
                 _ = serving.as_mut() => false,
--- a/node/src/mesh/handle.rs
+++ b/node/src/mesh/handle.rs
@@ -28,6 +28,16 @@
                 holders.noted(&envelope.from.instance, note, now);
             }
         }
+        Message::Sends(notes) => {
+            let now = app.now();
+            let mut fleet = app.fleet();
+            for note in notes {
+                let engine = fleet.engine(&note.engine);
+                if let Some(shared) = engine.and_then(|e| e.load.shared.as_mut()) {
+                    shared.heard(&envelope.from.instance, note.held, now);
+                }
+            }
+        }
         // The rest comes by connection.
         _ => {}
     }
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -1,19 +1,86 @@
 use {
+    bytes::Bytes,
     futures_util::{future::BoxFuture, stream::BoxStream},
+    hyper::{HeaderMap, Method},
     lentil_core::{
         fleet::{CacheEvent, Load},
-        ids::{AdapterId, Fence, Incarnation, Millis, ModelId, RunId},
+        ids::{AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, RunId},
         manifest::Role,
         order::{EngineReport, Order},
         stream::Chunk,
     },
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     thiserror::Error,
 };
 
+/// A request that is passed on as it came.
+#[derive(Debug)]
+pub struct RawCall {
+    /// Name that the caller gave this attempt.
+    pub id: String,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers, without those that concern one connection or are the system's to set.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What a passed-on request is sent with.
+#[derive(Debug, Clone)]
+pub struct Passing {
+    /// The request.
+    pub call: Arc<RawCall>,
+    /// The target that is meant; another one at its address runs nothing.
+    pub target: EngineId,
+    /// Time within which the answer is of use.
+    pub left: Duration,
+    /// Connections that may be open to the target.
+    pub connections: usize,
+    /// The last event that the caller has, if it goes on from there.
+    pub after: Option<u64>,
+    /// Whether the answer is a stream of events.
+    pub streams: bool,
+}
+
+/// Head of an answer that is passed on.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers, without those that concern one connection.
+    pub headers: HeaderMap,
+}
+
+/// Piece of an answer.
+#[derive(Debug, Clone)]
+pub enum Part {
+    /// A token of a model's answer.
+    Chunk(Chunk),
+    /// A whole event of a stream that is passed on.
+    Event {
+        /// Its number.
+        id: u64,
+        /// The event as it came.
+        bytes: Bytes,
+    },
+    /// The whole body of an answer that is passed on.
+    Body(Bytes),
+}
+
+/// An answer as it comes.
+pub struct Answer {
+    /// Its head, if it is passed on.
+    pub head: Option<AnswerHead>,
+    /// Its pieces; the stream ends without an error only if the answer is whole.
+    pub parts: BoxStream<'static, Result<Part, EngineError>>,
+}
+
 /// A request as an engine runs it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Job {
     /// Name of the run, unique.
     pub run: RunId,
@@ -31,6 +98,9 @@
     pub priority: u8,
     /// Where the prompt's KV cache can be had, if it was prefilled elsewhere.
     pub cache: Option<CacheSource>,
+    /// The request itself if it is passed on; the prompt is empty then.
+    #[serde(skip)]
+    pub passing: Option<Passing>,
 }
 
 /// Where a run's KV cache is exported.
@@ -79,6 +149,9 @@
     /// It refused and did nothing.
     #[error("engine refused: {0}")]
     Refused(String),
+    /// Another target answered at its address and did nothing.
+    #[error("another target has the address")]
+    Misdirected,
     /// It has seen a greater fencing number and did nothing.
     #[error("engine has seen fencing number {0}")]
     Fenced(Fence),
@@ -96,6 +169,13 @@
     NoAuthority,
 }
 
+impl EngineError {
+    /// Whether it is certain that the engine did nothing.
+    pub fn not_run(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::Refused(_) | Self::Misdirected)
+    }
+}
+
 /// Pieces of an answer.
 pub type Chunks = BoxStream<'static, Result<Chunk, EngineError>>;
 
@@ -105,10 +185,10 @@
 /// A model engine.
 pub trait Engine: Send + Sync {
     /// Begins a run and streams its answer.
-    fn generate(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<Chunks, EngineError>>;
+    fn generate(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<Answer, EngineError>>;
 
-    /// Prefills a prompt and keeps its KV cache for export.
-    fn prefill(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<(), EngineError>>;
+    /// Prefills a prompt and keeps its KV cache for export under the name that is returned.
+    fn prefill(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<RunId, EngineError>>;
 
     /// Streams the answer of a run again from offset `from`.
     fn resume<'a>(
--- a/node/src/run/alone.rs
+++ b/node/src/run/alone.rs
@@ -41,10 +41,10 @@
         let engine = fleet.engine(&id).ok_or_else(waits)?;
         engine.breaker.sent();
         engine.load.sent(prompt, true, now);
-        let decode = Target { id: id.clone(), address: engine.address, boot: engine.boot };
+        let decode = Target::of(engine);
         fleet.suspects.insert(id.clone());
         self.alone = Some(id);
-        Ok(Chosen { decode, prefill: None })
+        Ok(Chosen { decode, prefill: None, todo: prompt })
     }
 
     /// Lets the engine that this suspect ran on, if any, run another.
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -1,16 +1,18 @@
 use {
     super::{
+        export::Export,
+        hold::Hold,
         task::{Chosen, Target, Task},
         Piece,
     },
     crate::{
         app::fresh,
-        ports::{CacheSource, Chunks, EngineError, Job},
+        ports::{Answer, AnswerHead, CacheSource, EngineError, Job, Part, Passing},
     },
     futures_util::StreamExt,
     lentil_core::{
-        error::{ErrorKind, Fault},
-        ids::RunId,
+        error::{ErrorKind, Fault, Outcome},
+        ids::{RunId, Tokens},
         stream::{Chunk, StreamCheck, Ticket},
     },
     std::sync::Arc,
@@ -18,48 +20,73 @@
 
 /// How an attempt ended.
 pub(super) enum Ended {
-    /// The whole answer was passed on.
+    /// The answer is whole.
     Whole,
     /// The caller went away.
     CallerGone,
-    /// The engine is emptied: the answer is to go on at others, from the run's KV cache.
+    /// The engine is emptied: the run goes on with its KV cache on another engine.
     Moved(Chosen, CacheSource),
-    /// The engine did not answer to the end.
+    /// It failed.
     Failed(Fault),
 }
 
-/// One run of a request on chosen engines.
+/// One run of a request on the engines chosen for it.
 pub(super) struct Attempt<'a> {
     task: &'a mut Task,
     chosen: Chosen,
     run: RunId,
-    /// The run that this one goes on from.
     origin: Option<CacheSource>,
+    /// Head of the answer until its first piece is there: before that, another target may answer.
+    head: Option<AnswerHead>,
 }
 
-/// Tokens left below which an answer ends where it is.
+/// Output left below which a run is not moved.
 const FEW: u32 = 8;
 
 impl<'a> Attempt<'a> {
+    /// An attempt; `origin` is where a run that goes on has its KV cache.
     pub(super) fn new(task: &'a mut Task, chosen: Chosen, origin: Option<CacheSource>) -> Self {
-        Self { task, chosen, run: fresh("r"), origin }
+        Self { task, chosen, run: fresh("r"), origin, head: None }
     }
 
+    /// Runs the request; passes on what comes.
     pub(super) async fn run(mut self) -> Ended {
-        let cache = match self.prefill().await {
-            Ok(cache) => cache,
+        let mut export = match self.prefill().await {
+            Ok(export) => export,
             Err(fault) => return Ended::Failed(fault),
         };
-        let job = self.job(cache);
+        if export.is_some() {
+            self.chosen.decode = self.task.choose_decode(&self.chosen.decode);
+        }
+        let cache = export.as_ref().and_then(Export::source).or_else(|| self.origin.clone());
         let target = self.chosen.decode.clone();
+        let direct = if export.is_some() { Tokens(0) } else { self.chosen.todo };
+        let mut hold = Hold::new(&self.task.app, &target.id, direct);
+        let job = self.job(&target, cache);
         let engines = self.task.app.ports.engines.clone();
+        // A run that is given up from here on may have begun.
+        let begun = std::mem::replace(&mut self.task.begun, true);
+        self.task.arrivals += 1;
         match engines.generate(target.address, job).await {
-            Ok(chunks) => self.pass(chunks).await,
-            Err(error) => Ended::Failed(self.failed(&target, &error).await),
+            Ok(answer) => {
+                if let Some(export) = &mut export {
+                    export.taken();
+                }
+                self.pass(answer, &mut hold).await
+            }
+            Err(error) => {
+                if error.not_run() {
+                    self.task.begun = begun;
+                }
+                if matches!(error, EngineError::NotSent(_)) {
+                    self.task.arrivals -= 1;
+                }
+                Ended::Failed(self.failed(&target, &error).await)
+            }
         }
     }
 
-    fn job(&self, cache: Option<CacheSource>) -> Job {
+    fn job(&self, target: &Target, cache: Option<CacheSource>) -> Job {
         let request = &self.task.request;
         Job {
             run: self.run.clone(),
@@ -70,40 +97,95 @@
             max: request.max,
             priority: request.work.class.priority,
             cache,
+            passing: self.passing(target),
         }
     }
 
-    async fn prefill(&mut self) -> Result<Option<CacheSource>, Fault> {
+    fn passing(&self, target: &Target) -> Option<Passing> {
+        let routed = self.task.request.routed.as_ref()?;
+        let instances = self.task.app.view().live().count() + 1;
+        let connections = match routed.connections {
+            0 => usize::MAX,
+            limit => (limit as usize / instances).max(1),
+        };
+        Some(Passing {
+            call: routed.call.clone(),
+            target: target.id.clone(),
+            left: routed.deadline - self.task.app.now(),
+            connections,
+            after: self.task.last.or(routed.after),
+            streams: routed.route.streams,
+        })
+    }
+
+    async fn prefill(&mut self) -> Result<Option<Export>, Fault> {
         if self.origin.is_some() {
-            return Ok(self.origin.clone());
+            return Ok(None);
         }
         let Some(target) = self.chosen.prefill.clone() else { return Ok(None) };
-        let job = self.job(None);
-        let engines = self.task.app.ports.engines.clone();
-        match engines.prefill(target.address, job).await {
-            Ok(()) => {
+        let app = self.task.app.clone();
+        self.task.prefills += 1;
+        let idle = app.fleet().engine(&target.id).is_none_or(|e| e.load.idle(app.now()));
+        let hold = Hold::new(&app, &target.id, self.chosen.todo);
+        let begun = app.now();
+        let job = self.job(&target, None);
+        match app.ports.engines.prefill(target.address, job).await {
+            Ok(run) => {
+                drop(hold);
                 self.task.succeeded(&target);
-                Ok(Some(CacheSource { address: target.address, run: self.run.clone() }))
+                if idle {
+                    self.learn(app.now() - begun);
+                }
+                let source = CacheSource { address: target.address, run };
+                Ok(Some(Export::new(&app, source)))
+            }
+            Err(error) => {
+                self.task.begun |= !error.not_run() && self.task.request.routed.is_none();
+                Err(self.failed(&target, &error).await)
             }
-            Err(error) => Err(self.failed(&target, &error).await),
         }
     }
 
-    async fn pass(&mut self, mut chunks: Chunks) -> Ended {
+    /// Learns the prefill rate from a prompt that an idle engine prefilled.
+    fn learn(&self, spent: std::time::Duration) {
+        let tokens = self.chosen.todo.0 as f64;
+        let model = &self.task.request.work.model;
+        let rate = tokens / spent.as_secs_f64().max(1e-6);
+        if self.chosen.todo >= super::task::TELLING {
+            self.task.app.fleet().learn(model, |rates| rates.prefill.observe(rate));
+        }
+    }
+
+    async fn pass(&mut self, answer: Answer, hold: &mut Hold) -> Ended {
+        let Answer { head, mut parts } = answer;
+        if let Some(head) = head {
+            if let Some(fault) = self.take_head(head) {
+                return Ended::Failed(fault);
+            }
+        }
         let target = self.chosen.decode.clone();
         let base = self.task.done.len() as u64;
         let mut check = StreamCheck::new(self.run.clone(), base);
         let ticket = self.ticket(base);
         self.task.begun = true;
-        while let Some(next) = chunks.next().await {
-            let checked = next.and_then(|chunk| {
-                let malformed =
-                    |e: lentil_core::stream::ChunkError| EngineError::Malformed(e.to_string());
-                check.pass(&chunk).map_err(malformed)?;
-                Ok(chunk)
-            });
-            let sent = match checked {
-                Ok(chunk) => self.send(chunk, &ticket).await,
+        while let Some(next) = parts.next().await {
+            let sent = match next {
+                Ok(Part::Chunk(chunk)) => match check.pass(&chunk) {
+                    Ok(()) => self.send(chunk, &ticket).await,
+                    Err(e) => {
+                        let error = EngineError::Malformed(e.to_string());
+                        return Ended::Failed(self.failed(&target, &error).await);
+                    }
+                },
+                Ok(Part::Event { id, bytes }) => {
+                    if self.task.last.or(self.after()).is_some_and(|last| id <= last) {
+                        let error = EngineError::Malformed(format!("event {id} comes twice"));
+                        return Ended::Failed(self.failed(&target, &error).await);
+                    }
+                    self.task.last = Some(id);
+                    self.pass_bytes(bytes).await
+                }
+                Ok(Part::Body(bytes)) => self.pass_bytes(bytes).await,
                 Err(error) => return Ended::Failed(self.failed(&target, &error).await),
             };
             if !sent {
@@ -111,6 +193,7 @@
                 // caller may resume it through any instance.
                 return Ended::CallerGone;
             }
+            hold.prefilled();
             self.leave_origin();
             if check.ended() {
                 self.task.succeeded(&target);
@@ -122,11 +205,55 @@
                 return Ended::Moved(chosen, origin);
             }
         }
+        if self.task.request.routed.is_some() {
+            return self.whole(&target).await;
+        }
         let error = EngineError::Lost("answer broke off".into());
         Ended::Failed(self.failed(&target, &error).await)
     }
 
-    /// Ends the run that this one went on from.
+    fn after(&self) -> Option<u64> {
+        self.task.request.routed.as_ref()?.after
+    }
+
+    /// Keeps the head of an answer that is passed on; a fault if another target is to answer.
+    fn take_head(&mut self, head: AnswerHead) -> Option<Fault> {
+        self.task.begun = true;
+        let failed = head.status >= 500;
+        if failed && self.task.may_run_again() || self.task.headed && head.status != 200 {
+            let text = format!("target answered with status {}", head.status);
+            return Some(Fault::new(ErrorKind::BadAnswer, text).outcome(Outcome::Ran));
+        }
+        if !self.task.headed {
+            self.head = Some(head);
+        }
+        None
+    }
+
+    async fn send_head(&mut self) -> bool {
+        let Some(head) = self.head.take() else { return true };
+        self.task.headed = true;
+        self.task.status = head.status;
+        self.task.first.get_or_insert(self.task.app.now());
+        self.task.sender.send(Ok(Piece::Head(head))).await.is_ok()
+    }
+
+    async fn pass_bytes(&mut self, bytes: bytes::Bytes) -> bool {
+        self.send_head().await && self.task.sender.send(Ok(Piece::Bytes(bytes))).await.is_ok()
+    }
+
+    /// Ends an answer that was passed on whole.
+    async fn whole(&mut self, target: &Target) -> Ended {
+        let sent = self.send_head().await && self.task.sender.send(Ok(Piece::Done)).await.is_ok();
+        self.task.succeeded(target);
+        if sent {
+            Ended::Whole
+        } else {
+            Ended::CallerGone
+        }
+    }
+
+    /// Ends the run that this one goes on from, once a piece has come.
     fn leave_origin(&mut self) {
         let Some(origin) = self.origin.take() else { return };
         let engines = self.task.app.ports.engines.clone();
@@ -136,12 +263,13 @@
         });
     }
 
-    /// Where the answer should go on, if its engine is emptied and others are open.
+    /// Another engine for the rest, if this one is being emptied for an order.
     fn elsewhere(&mut self) -> Option<Chosen> {
         let left = self.task.request.max.saturating_sub(self.task.done.len() as u32);
         let id = &self.chosen.decode.id;
         let emptied = self.task.app.fleet().engine(id).is_some_and(|e| e.changing);
-        if !emptied || left < FEW || self.task.alone.is_some() {
+        let routed = self.task.request.routed.is_some();
+        if !emptied || routed || left < FEW || self.task.alone.is_some() {
             return None;
         }
         let chosen = self.task.choose(1).ok()?;
@@ -149,6 +277,9 @@
     }
 
     fn ticket(&self, base: u64) -> Arc<str> {
+        if self.task.request.routed.is_some() {
+            return "".into();
+        }
         let ticket = Ticket {
             engine: self.chosen.decode.id.clone(),
             run: self.run.clone(),
@@ -158,6 +289,7 @@
         ticket.seal(self.task.app.settings.mesh.key.as_bytes()).into()
     }
 
+    /// Sends a piece to the caller; false if it is gone.
     async fn send(&mut self, chunk: Chunk, ticket: &Arc<str>) -> bool {
         if chunk.end.is_none() {
             self.task.first.get_or_insert(self.task.app.now());
@@ -167,18 +299,18 @@
         self.task.sender.send(Ok(piece)).await.is_ok()
     }
 
-    /// Notes a failure of an engine and makes the fault that the caller gets if no other helps.
+    /// Notes a failure and says it as a fault.
     async fn failed(&mut self, target: &Target, error: &EngineError) -> Fault {
         let kind = match error {
-            EngineError::Refused(_) | EngineError::NotSent(_) => ErrorKind::NoTarget,
+            error if error.not_run() => ErrorKind::NoTarget,
             EngineError::Timeout => ErrorKind::TargetTimeout,
             EngineError::Malformed(_) => ErrorKind::BadAnswer,
             _ => ErrorKind::TargetLost,
         };
-        let certain = matches!(error, EngineError::Refused(_) | EngineError::NotSent(_));
-        self.task.begun |= !certain;
+        self.task.request.work.avoid.push(target.id.clone());
         self.task.note_failure(target, error).await;
-        log::info!("run: run {} failed on engine {}: {error}", self.run, target.id);
+        let id = self.task.request.name(&self.run);
+        log::info!("run: {id} failed on engine {}: {error}", target.id);
         Fault::new(kind, format!("engine {:?}: {error}", target.id.as_str()))
     }
 }
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -3,9 +3,12 @@
 mod alone;
 mod attempt;
 mod blame;
+mod export;
+mod hold;
 mod piece;
 mod request;
 mod resume;
+mod routed;
 mod task;
 
 pub use {piece::*, request::*, resume::resume, task::start};
--- a/node/src/run/piece.rs
+++ b/node/src/run/piece.rs
@@ -1,4 +1,6 @@
 use {
+    crate::ports::AnswerHead,
+    bytes::Bytes,
     lentil_core::{
         error::{ErrorKind, Fault},
         stream::{Chunk, EndReason},
@@ -31,6 +33,12 @@
         /// Why it ended.
         reason: EndReason,
     },
+    /// Head of an answer that is passed on; comes first.
+    Head(AnswerHead),
+    /// Bytes of an answer that is passed on: a whole event, or a whole body.
+    Bytes(Bytes),
+    /// An answer that is passed on is whole.
+    Done,
 }
 
 impl Piece {
@@ -43,10 +51,11 @@
         }
     }
 
-    /// The stream's id.
+    /// The stream's id; empty for what is passed on.
     pub fn ticket(&self) -> &str {
         match self {
             Self::Token { ticket, .. } | Self::End { ticket, .. } => ticket,
+            Self::Head(_) | Self::Bytes(_) | Self::Done => "",
         }
     }
 }
@@ -74,7 +83,7 @@
                 Err(Fault::new(ErrorKind::TargetLost, "the run ended without an answer"))
             })?,
         };
-        self.ended = matches!(piece, Piece::End { .. });
+        self.ended = matches!(piece, Piece::End { .. } | Piece::Done);
         Ok(piece)
     }
 
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -1,11 +1,16 @@
-use lentil_core::{
-    clock::Time,
-    ids::{CallerId, Fingerprint, WorkspaceId},
-    manifest::ClassName,
-    route::Work,
+use {
+    crate::ports::RawCall,
+    lentil_core::{
+        clock::Time,
+        ids::{CallerId, Fingerprint, WorkspaceId},
+        manifest::ClassName,
+        route::Work,
+        routes::Route,
+    },
+    std::sync::Arc,
 };
 
-/// A generation that may be run.
+/// A request that may be run.
 #[derive(Debug, Clone)]
 pub struct Request {
     /// What makes it the same as another.
@@ -24,6 +29,23 @@
     pub max: u32,
     /// What it asks of an engine.
     pub work: Work,
-    /// The prompt.
+    /// The prompt; empty if the request is passed on.
     pub prompt: String,
+    /// The request itself if it is passed on as it came.
+    pub routed: Option<Routed>,
+}
+
+/// A request that is passed on as it came.
+#[derive(Debug, Clone)]
+pub struct Routed {
+    /// The request.
+    pub call: Arc<RawCall>,
+    /// The route that was in force when it arrived.
+    pub route: Arc<Route>,
+    /// When its final answer must be given.
+    pub deadline: Time,
+    /// The last event that the caller has, if it goes on from there.
+    pub after: Option<u64>,
+    /// Connections that one target accepts from all callers together; zero: not limited.
+    pub connections: u32,
 }
--- /dev/null
+++ b/node/src/run/routed.rs
@@ -0,0 +1,30 @@
+use {super::task::Task, lentil_core::ids::RunId};
+
+impl Task {
+    /// Notes how a request that was passed on ended.
+    pub(super) fn finish_routed(&self) {
+        let request = &self.request;
+        let (service, class) = (request.work.model.as_str(), request.class.as_str());
+        let now = self.app.now();
+        let first = self.first.unwrap_or(now) - request.arrived;
+        self.app.meter.first.with_label_values(&[class]).observe(first.as_secs_f64());
+        let good = self.status < 400;
+        let late = first > request.work.class.first.span();
+        let spent = (!good).then_some("status").or(late.then_some("first"));
+        self.app.meter.ended(service, class, if good { "whole" } else { "failure" }, spent);
+        if good {
+            self.app.quarantine().cleared(request.print);
+        }
+        if request.work.prompt.0 == 0 && good {
+            let spent = (now - request.arrived).as_secs_f64();
+            self.app.fleet().learn(&request.work.model, |rates| rates.service.observe(spent));
+        }
+    }
+}
+
+impl super::Request {
+    /// Name of the request in logs: the caller's, or else the run's.
+    pub(super) fn name<'a>(&'a self, run: &'a RunId) -> &'a str {
+        self.routed.as_ref().map_or(run.as_str(), |r| &r.call.id)
+    }
+}
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -4,19 +4,23 @@
         piece::QUEUE,
         Piece, Pieces, Request,
     },
-    crate::app::App,
+    crate::{app::App, ports::CacheSource},
     lentil_core::{
         admit::{admit, Ask},
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
+        fleet::{Blocks, EngineView},
         ids::{EngineId, Tokens},
         manifest::EngineSpec,
         plan,
         poison::Standing,
-        route::{choose, Pick, Place},
+        route::{choose, Pick, Place, Work},
     },
     std::{sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::sleep},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// Pause before a run is tried again when no engine is open for it.
@@ -35,6 +39,14 @@
     Pieces::new(receiver)
 }
 
+/// Tokens below which a prefill tells nothing of an engine's rate.
+pub(super) const TELLING: Tokens = Tokens(1_000);
+/// Tokens below which a prompt that is passed on is prefilled where it is decoded: two calls and
+/// a transfer take longer than the prefill.
+const SMALL: Tokens = Tokens(1_000);
+/// Time left below which a further target is of no use.
+const LEAST: Duration = Duration::from_millis(30);
+
 /// One request on its way through one engine after another until it is answered.
 pub(super) struct Task {
     pub(super) app: Arc<App>,
@@ -48,6 +60,16 @@
     pub(super) begun: bool,
     /// The engine that it runs on as the only suspect.
     pub(super) alone: Option<EngineId>,
+    /// Requests that reached targets to be run.
+    pub(super) arrivals: u32,
+    /// Requests that reached targets to be prefilled.
+    pub(super) prefills: u32,
+    /// Whether the head of an answer was passed on.
+    pub(super) headed: bool,
+    /// Status of that head.
+    pub(super) status: u16,
+    /// The last event passed on.
+    pub(super) last: Option<u64>,
 }
 
 /// Engines chosen for an attempt.
@@ -55,6 +77,8 @@
 pub(super) struct Chosen {
     pub(super) decode: Target,
     pub(super) prefill: Option<Target>,
+    /// Tokens to prefill.
+    pub(super) todo: Tokens,
 }
 
 /// An engine with its address.
@@ -65,9 +89,28 @@
     pub(super) boot: lentil_core::ids::Incarnation,
 }
 
+impl Target {
+    pub(super) fn of(engine: &EngineView) -> Self {
+        Self { id: engine.id.clone(), address: engine.address, boot: engine.boot }
+    }
+}
+
 impl Task {
     fn new(app: Arc<App>, request: Request, sender: mpsc::Sender<Result<Piece, Fault>>) -> Self {
-        Self { app, request, sender, done: Vec::new(), first: None, begun: false, alone: None }
+        Self {
+            app,
+            request,
+            sender,
+            done: Vec::new(),
+            first: None,
+            begun: false,
+            alone: None,
+            arrivals: 0,
+            prefills: 0,
+            headed: false,
+            status: 0,
+            last: None,
+        }
     }
 
     async fn run(mut self) {
@@ -75,7 +118,7 @@
             let fault = Fault::new(ErrorKind::NoCapacity, "too many answers are in work");
             return self.fail(fault).await;
         };
-        self.app.gate().retries.fresh();
+        self.count();
         let mut tries = 0;
         let mut moved = None;
         loop {
@@ -91,14 +134,14 @@
                 },
             };
             tries += u32::from(origin.is_none());
-            let ended = Attempt::new(&mut self, chosen, origin).run().await;
+            let ended = self.attempt(chosen, origin).await;
             self.give_back();
             match ended {
                 Ended::Whole => return self.finish(),
                 Ended::CallerGone => return self.left(),
                 Ended::Moved(chosen, origin) => moved = Some((chosen, origin)),
                 Ended::Failed(fault) => {
-                    if tries >= MAX_TRIES || !self.app.gate().retries.take() {
+                    if tries >= MAX_TRIES || !self.may_go_on(&fault) {
                         return self.fail(fault).await;
                     }
                     self.app.meter.retries.inc();
@@ -155,23 +198,18 @@
                 return Err(Fault::new(ErrorKind::Quarantined, text));
             }
         }
-        let place = Place {
-            region: app.settings.region.clone(),
-            zone: app.settings.zone.clone(),
-            instances: app.view().live().count() as u32 + 1,
-            salt: rand::random(),
-        };
+        let place = self.place();
         let mut work = self.request.work.clone();
         work.prompt += Tokens(self.done.len() as u64);
         let mut fleet = app.fleet();
         fleet.refresh(now);
         let mut cache = app.cache();
         let picked = choose(&fleet.engines, &cache, &work, &place, now);
-        if tries == 0 {
+        if tries == 0 && self.request.routed.is_none() {
             self.arrived(picked.as_ref().map_or(Tokens(0), |p| p.hit));
         }
         let pick = picked?;
-        if tries == 0 {
+        if tries == 0 && self.request.routed.is_none() {
             self.admit(&pick, now)?;
         }
         let todo = work.prompt - pick.hit;
@@ -180,7 +218,7 @@
             engine.breaker.sent();
             engine.load.sent(todo, false, now);
             cache.sent(&engine.id, &work.blocks);
-            Target { id: engine.id.clone(), address: engine.address, boot: engine.boot }
+            Target::of(engine)
         });
         let engine = &mut fleet.engines[pick.decode];
         engine.breaker.sent();
@@ -189,8 +227,87 @@
         if prefill.is_none() {
             cache.sent(&engine.id, &work.blocks);
         }
-        let decode = Target { id: engine.id.clone(), address: engine.address, boot: engine.boot };
-        Ok(Chosen { decode, prefill })
+        let decode = Target::of(engine);
+        Ok(Chosen { decode, prefill, todo })
+    }
+
+    /// Counts the request in the allowance of resends.
+    fn count(&self) {
+        let now = self.app.now();
+        match self.request.routed {
+            None => self.app.gate().retries.fresh(),
+            Some(_) => self.app.gate().request(&self.request.work.model, now),
+        }
+    }
+
+    /// One attempt, which ends with the caller's patience if the request is passed on.
+    async fn attempt(&mut self, chosen: Chosen, origin: Option<CacheSource>) -> Ended {
+        let Some(deadline) = self.request.routed.as_ref().map(|r| r.deadline) else {
+            return Attempt::new(self, chosen, origin).run().await;
+        };
+        let left = deadline - self.app.now();
+        let sender = self.sender.clone();
+        tokio::select! {
+            biased;
+            () = sender.closed() => Ended::CallerGone,
+            ended = timeout(left, Attempt::new(self, chosen, origin).run()) => {
+                ended.unwrap_or_else(|_| {
+                    let text = "no target answered in time";
+                    Ended::Failed(Fault::new(ErrorKind::TargetTimeout, text))
+                })
+            }
+        }
+    }
+
+    fn place(&self) -> Place {
+        let app = &self.app;
+        Place {
+            region: app.settings.region.clone(),
+            zone: app.settings.zone.clone(),
+            instances: app.view().live().count() as u32 + 1,
+            small: if self.request.routed.is_some() { SMALL } else { Tokens(0) },
+            salt: rand::random(),
+        }
+    }
+
+    /// Whether a request that may have run can be run by another target.
+    pub(super) fn may_run_again(&self) -> bool {
+        let Some(routed) = &self.request.routed else { return true };
+        let time = self.app.now() + LEAST < routed.deadline;
+        time && routed.route.repeatable() && self.arrivals < routed.route.attempts
+    }
+
+    /// Whether a failed request may go on; takes its resend from the allowance.
+    fn may_go_on(&self, fault: &Fault) -> bool {
+        let now = self.app.now();
+        let Some(routed) = &self.request.routed else { return self.app.gate().retries.take() };
+        let in_time = now + LEAST < routed.deadline;
+        let again = !self.begun || self.may_run_again();
+        if fault.kind == ErrorKind::TargetTimeout || !in_time || !again {
+            return false;
+        }
+        // What never reached a target is not sent a second time.
+        if self.arrivals + self.prefills == 0 {
+            return true;
+        }
+        let instances = self.app.view().live().count() as u32 + 1;
+        self.app.gate().resend(&self.request.work.model, instances, now)
+    }
+
+    /// The best engine for decoding a prompt that was prefilled elsewhere, by what is known now.
+    pub(super) fn choose_decode(&self, chosen: &Target) -> Target {
+        if self.request.routed.is_none() {
+            return chosen.clone();
+        }
+        let now = self.app.now();
+        let place = self.place();
+        let work = Work { prompt: Tokens(0), blocks: Blocks::new(), ..self.request.work.clone() };
+        let fleet = self.app.fleet();
+        let cache = self.app.cache();
+        match choose(&fleet.engines, &cache, &work, &place, now) {
+            Ok(pick) => Target::of(&fleet.engines[pick.decode]),
+            Err(_) => chosen.clone(),
+        }
     }
 
     /// Admission, with the use that it leads to.
@@ -210,6 +327,9 @@
     }
 
     fn finish(self) {
+        if self.request.routed.is_some() {
+            return self.finish_routed();
+        }
         let (app, request) = (&self.app, &self.request);
         let now = app.now();
         app.quarantine().cleared(request.print);
