--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -133,9 +133,13 @@
             Ok(run) => {
                 drop(hold);
                 self.task.succeeded(&target);
+                let spent = app.now() - begun;
                 if idle {
-                    self.learn(app.now() - begun);
+                    self.learn(spent);
                 }
+                let id = self.task.request.name(&self.run);
+                let (todo, ms) = (self.chosen.todo, spent.as_millis());
+                log::info!("run: id={id} prefilled at={} tokens={todo} idle={idle} ms={ms}", target.id);
                 let source = CacheSource { address: target.address, run };
                 Ok(Some(Export::new(&app, source)))
             }
--- a/node/src/run/routed.rs
+++ b/node/src/run/routed.rs
@@ -1,9 +1,28 @@
 use {super::task::Task, lentil_core::ids::RunId};
 
 impl Task {
+    /// One line for each request that was answered, with where its time went.
+    fn log_end(&self) {
+        let (request, now) = (&self.request, self.app.now());
+        let Some(routed) = &request.routed else { return };
+        let first = self.first.map_or(0, |t| (t - request.arrived).as_millis());
+        log::info!(
+            "run: id={} route={} status={} prompt={} output={} first_ms={first} total_ms={} sends={} events={}",
+            routed.call.id,
+            request.class,
+            self.status,
+            request.work.prompt,
+            request.work.output,
+            (now - request.arrived).as_millis(),
+            self.arrivals,
+            self.last.unwrap_or(0),
+        );
+    }
+
     /// Notes how a request that was passed on ended.
     pub(super) fn finish_routed(&self) {
         let request = &self.request;
+        self.log_end();
         let (service, class) = (request.work.model.as_str(), request.class.as_str());
         let now = self.app.now();
         let first = self.first.unwrap_or(now) - request.arrived;
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -228,6 +228,17 @@
             cache.sent(&engine.id, &work.blocks);
         }
         let decode = Target::of(engine);
+        if let Some(routed) = &self.request.routed {
+            let split = prefill.as_ref().map_or("-", |t| t.id.as_str());
+            log::info!(
+                "run: id={} chosen try={tries} decode={} prefill={split} todo={todo} hit={} first_ms={} wait_ms={}",
+                routed.call.id,
+                decode.id,
+                pick.hit,
+                pick.first.as_millis(),
+                pick.wait.as_millis(),
+            );
+        }
         Ok(Chosen { decode, prefill, todo })
     }
 
