Split small prompts too; send a failed request to another target

Cause: at 300 tags/s decoding engines spent their time on small prefills (half rate, between tokens of others).

--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -226,6 +226,8 @@
         let failed = head.status >= 500;
         if failed && self.task.may_run_again() || self.task.headed && head.status != 200 {
             let text = format!("target answered with status {}", head.status);
+            let target = self.chosen.decode.id.clone();
+            self.task.request.work.avoid.push(target);
             return Some(Fault::new(ErrorKind::BadAnswer, text).outcome(Outcome::Ran));
         }
         if !self.task.headed {
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -43,7 +43,7 @@
 pub(super) const TELLING: Tokens = Tokens(1_000);
 /// Tokens below which a prompt that is passed on is prefilled where it is decoded: two calls and
 /// a transfer take longer than the prefill.
-const SMALL: Tokens = Tokens(1_000);
+const SMALL: Tokens = Tokens(1);
 /// Time left below which a further target is of no use.
 const LEAST: Duration = Duration::from_millis(30);
 
