--- a/core/src/admit/tests.rs
+++ b/core/src/admit/tests.rs
@@ -22,6 +22,7 @@
         wait: millis(first / 2),
         end: millis(end),
         hit: Tokens(0),
+        fetch: None,
     }
 }
 
--- a/core/src/fleet/cache.rs
+++ b/core/src/fleet/cache.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Blocks, Lengths, BLOCK_TOKENS},
+    super::{Blocks, Lengths, Placed, BLOCK_TOKENS},
     crate::ids::{EngineId, PrefixHash},
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
@@ -40,6 +40,10 @@
 /// engine's events puts everything known of it in doubt until it is confirmed.
 #[derive(Debug, Clone, Default)]
 pub struct CacheIndex {
+    /// Shared parts of prompts on registered engines.
+    pub placed: Placed,
+    /// Parts that were placed and are to be told to other instances.
+    pub told: Vec<(PrefixHash, EngineId)>,
     slots: HashMap<EngineId, u16>,
     feeds: Vec<Feed>,
     young: HashMap<PrefixHash, Copies>,
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -13,6 +13,8 @@
 /// Share of a decoding engine's time that prefill may take; with more, tokens come too far apart.
 pub const MIX: f64 = 0.3;
 
+/// Part of the prefill rate that a registered engine has while it decodes.
+const BESIDE: f64 = 0.5;
 /// Prompt tokens per second of a registered engine until it is learned; a common accelerator's.
 const FIRST_PREFILL: f64 = 30_000.0;
 /// Tokens per second and slot of a registered engine until it is learned.
@@ -107,6 +109,7 @@
     pub fn prefill_rate(&self) -> f64 {
         match self.role {
             Role::Prefill => self.rates.prefill.0,
+            Role::Decode if self.load.shared.is_some() => self.rates.prefill.0 * BESIDE,
             Role::Decode => self.rates.prefill.0 * MIX,
         }
     }
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -4,11 +4,12 @@
 mod engine;
 mod learned;
 mod load;
+mod placed;
 mod prefix;
 mod registration;
 mod share;
 
-pub use {cache::*, engine::*, learned::*, load::*, prefix::*, registration::*, share::*};
+pub use {cache::*, engine::*, learned::*, load::*, placed::*, prefix::*, registration::*, share::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -2,7 +2,7 @@
     super::{MemberInfo, MemberState},
     crate::{
         fleet::Held,
-        ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
+        ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, PrefixHash, Revision},
         manifest::{Edit, ManifestRecord},
         order::Holder,
         plan::Demand,
@@ -52,6 +52,8 @@
     Refused,
     /// Work of the sender in progress on targets, by datagram.
     Sends(Vec<SendNote>),
+    /// Shared parts of prompts that the sender has had read, by datagram.
+    Placed(Vec<(PrefixHash, EngineId)>),
 }
 
 /// Demand for one model's engines in one cell.
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -1,10 +1,9 @@
 use {
-    super::{cost, home_rank, shared_key, Cost, Pick, Place, Work, MOVE, MOVE_BASE},
+    super::{cost, Copies, Cost, Pick, Place, Work, MOVE, MOVE_BASE},
     crate::{
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{CacheIndex, EngineView},
-        ids::Tokens,
         manifest::Role,
     },
     std::time::Duration,
@@ -40,12 +39,12 @@
     let mut prefill: Option<Candidate> = None;
     let mut decode: Option<Candidate> = None;
     let mut direct: Option<Candidate> = None;
-    let homes = homes(engines, work, now);
+    let copies = Copies::of(engines, &cache.placed, work, now);
     for (index, engine) in engines.iter().enumerate() {
         if !fits(engine, work, now) {
             continue;
         }
-        let cost = cost(engine, index, cache, work, place, homes.contains(&Some(index)), now);
+        let cost = cost(engine, index, cache, work, place, &copies, now);
         let found = Candidate { index, cost };
         match engine.role {
             Role::Prefill => keep(&mut prefill, found, |c| c.prefill + c.way + c.doubt),
@@ -72,16 +71,6 @@
     }
 }
 
-/// Homes of the prompt's shared part among the engines of each role.
-fn homes(engines: &[EngineView], work: &Work, now: Time) -> [Option<usize>; 2] {
-    let Some(key) = shared_key(work) else { return [None; 2] };
-    [Role::Prefill, Role::Decode].map(|role| {
-        let open = |e: &EngineView| e.role == role && fits(e, work, now);
-        let ranked = engines.iter().enumerate().filter(|(_, e)| open(e));
-        ranked.max_by_key(|(_, e)| home_rank(key, e)).map(|(index, _)| index)
-    })
-}
-
 fn fits(engine: &EngineView, work: &Work, now: Time) -> bool {
     let loaded = work.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
     let avoided = work.avoid.contains(&engine.id);
@@ -99,7 +88,7 @@
     let first = |prefill: f64| prefill.max(d.cost.slot) + d.cost.way + d.cost.between;
     let score = first(d.cost.prefill) + DISTURB * d.cost.prefill;
     let wait = d.cost.queue.max(d.cost.slot);
-    (pick(d, None, [first(d.cost.known), wait], d.cost.hit, work), score)
+    (pick(d, None, [first(d.cost.known), wait], d.cost, work), score)
 }
 
 /// Prefill on one engine, decode on another, with its score.
@@ -111,14 +100,14 @@
     };
     let score = first(p.cost.prefill);
     let wait = p.cost.queue.max(d.cost.slot);
-    (pick(d, Some(p.index), [first(p.cost.known), wait], p.cost.hit, work), score)
+    (pick(d, Some(p.index), [first(p.cost.known), wait], p.cost, work), score)
 }
 
 fn pick(
     d: Candidate,
     prefill: Option<usize>,
     [first, wait]: [f64; 2],
-    hit: Tokens,
+    read: Cost,
     work: &Work,
 ) -> Pick {
     let end = first + work.output.0 as f64 * d.cost.between;
@@ -128,6 +117,7 @@
         first: Duration::from_secs_f64(first),
         wait: Duration::from_secs_f64(wait),
         end: Duration::from_secs_f64(end),
-        hit,
+        hit: read.hit,
+        fetch: read.fetch,
     }
 }
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -1,5 +1,5 @@
 use {
-    super::{shared_tokens, Place, Work, HOME_HIT},
+    super::{Copies, Place, Work},
     crate::{
         clock::Time,
         fleet::{CacheIndex, EngineView, Load},
@@ -18,6 +18,8 @@
 const DRIFT: f64 = 0.05;
 /// Difference in seconds below which engines with known work count as equal.
 const EQUAL: f64 = 0.002;
+/// Seconds that a shared part is on its way from another engine.
+const FETCH: f64 = 0.015;
 const OTHER_ZONE: f64 = 0.002; // seconds
 const OTHER_REGION: f64 = 0.25; // seconds
 
@@ -42,6 +44,8 @@
     pub doubt: f64,
     /// Prompt tokens that it holds already.
     pub hit: Tokens,
+    /// Engine to fetch them from, if it is another.
+    pub fetch: Option<usize>,
 }
 
 /// Estimates what `engine`, at `index` of its table, would cost `work` at `now`.
@@ -51,16 +55,18 @@
     cache: &CacheIndex,
     work: &Work,
     place: &Place,
-    home: bool,
+    copies: &Copies,
     now: Time,
 ) -> Cost {
     let rate = engine.prefill_rate();
     let load = engine.load.expected(rate, place.instances, now);
-    let mut hit = cache.hit_tokens(&engine.id, &work.blocks, &work.lengths);
-    if home {
-        hit = hit.max(shared_tokens(work).0 as f64 * HOME_HIT);
-    }
-    let hit = Tokens((hit as u64).min(work.prompt.0));
+    let (hit, fetch) = match engine.load.shared {
+        Some(_) => copies.at(index),
+        None => {
+            let hit = cache.hit_tokens(&engine.id, &work.blocks, &work.lengths);
+            (Tokens((hit as u64).min(work.prompt.0)), None)
+        }
+    };
     let todo = (load.queued + work.prompt - hit).0 as f64;
     let queue = engine.load.expected(rate, 1, now).queued.0 as f64 / rate;
     let known = queue + (work.prompt - hit).0 as f64 / rate;
@@ -70,7 +76,7 @@
         () => 0.0,
     };
     Cost {
-        prefill: todo / rate,
+        prefill: todo / rate + if fetch.is_some() { FETCH } else { 0.0 },
         known,
         queue,
         slot: slot_wait(engine, &load, work),
@@ -79,6 +85,7 @@
         used: f64::from(load.running + load.waiting) / f64::from(engine.rates.slots),
         doubt: doubt(engine, place, index, now),
         hit,
+        fetch,
     }
 }
 
--- a/core/src/route/mod.rs
+++ b/core/src/route/mod.rs
@@ -2,10 +2,10 @@
 
 mod choose;
 mod cost;
-mod home;
+mod share;
 mod work;
 
-pub use {choose::*, cost::*, home::*, work::*};
+pub use {choose::*, cost::*, share::*, work::*};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/core/src/route/share.rs
@@ -0,0 +1,53 @@
+use {
+    super::Work,
+    crate::{
+        clock::Time,
+        fleet::{EngineView, Placed},
+        ids::{EngineId, PrefixHash, Tokens},
+    },
+    smallvec::SmallVec,
+};
+
+/// Shared tokens below which another engine's memory is not asked for them: setting up the
+/// transfer takes longer than reading them.
+pub const WORTH_FETCHING: Tokens = Tokens(1_500);
+
+/// The deepest part that a prompt has in common with others; its last block is its own.
+pub fn shared_key(work: &Work) -> Option<PrefixHash> {
+    let shared = work.blocks.len().checked_sub(2)?;
+    (!work.lengths.is_empty()).then(|| work.blocks[shared])
+}
+
+/// Tokens before the last block.
+pub fn shared_tokens(work: &Work) -> Tokens {
+    let lengths = work.lengths.split_last().map_or(&[][..], |(_, shared)| shared);
+    Tokens(lengths.iter().map(|t| u64::from(*t)).sum())
+}
+
+/// Which engines have a prompt's shared part in memory, by their index.
+#[derive(Debug, Clone, Default)]
+pub struct Copies {
+    held: SmallVec<[usize; 4]>,
+    tokens: Tokens,
+}
+
+impl Copies {
+    /// Copies of the shared part of `work`, the latest first.
+    pub fn of(engines: &[EngineView], placed: &Placed, work: &Work, now: Time) -> Self {
+        let Some(key) = shared_key(work) else { return Self::default() };
+        let index = |id: &EngineId| engines.iter().position(|e| e.id == *id && !e.away);
+        let held = placed.holders(key, now).filter_map(index).collect();
+        Self { held, tokens: shared_tokens(work) }
+    }
+
+    /// Shared tokens that an engine need not prefill, and the engine to fetch them from.
+    pub fn at(&self, index: usize) -> (Tokens, Option<usize>) {
+        if self.held.contains(&index) {
+            return (self.tokens, None);
+        }
+        match self.held.first() {
+            Some(from) if self.tokens >= WORTH_FETCHING => (self.tokens, Some(*from)),
+            _ => (Tokens(0), None),
+        }
+    }
+}
--- a/core/src/route/work.rs
+++ b/core/src/route/work.rs
@@ -69,4 +69,6 @@
     pub end: Duration,
     /// Prompt tokens that the prefilling engine is expected to hold already.
     pub hit: Tokens,
+    /// Engine that is to be asked for them, if the prefilling one does not have them.
+    pub fetch: Option<usize>,
 }
--- a/node/src/mesh/handle.rs
+++ b/node/src/mesh/handle.rs
@@ -38,6 +38,13 @@
                 }
             }
         }
+        Message::Placed(parts) => {
+            let now = app.now();
+            let mut cache = app.cache();
+            for (part, engine) in parts {
+                cache.placed.used(part, &engine, now);
+            }
+        }
         // The rest comes by connection.
         _ => {}
     }
--- a/node/src/mesh/sends.rs
+++ b/node/src/mesh/sends.rs
@@ -21,11 +21,14 @@
     loop {
         sleep(PERIOD).await;
         let notes = notes(&app, &mut told);
-        if notes.is_empty() {
-            continue;
-        }
+        let placed = std::mem::take(&mut app.cache().told);
         let members: Vec<_> =
             app.view().live().map(|m| (m.info.address, m.info.id.clone())).collect();
+        for part in placed.chunks(NOTES) {
+            for (address, id) in &members {
+                send(&app, *address, Some(id.clone()), Message::Placed(part.to_vec())).await;
+            }
+        }
         for part in notes.chunks(NOTES) {
             for (address, id) in &members {
                 send(&app, *address, Some(id.clone()), Message::Sends(part.to_vec())).await;
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -44,6 +44,8 @@
     pub after: Option<u64>,
     /// Whether the answer is a stream of events.
     pub streams: bool,
+    /// Engine that has the prompt's shared part in memory.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// Head of an answer that is passed on.
--- a/node/src/run/alone.rs
+++ b/node/src/run/alone.rs
@@ -44,7 +44,7 @@
         let decode = Target::of(engine);
         fleet.suspects.insert(id.clone());
         self.alone = Some(id);
-        Ok(Chosen { decode, prefill: None, todo: prompt })
+        Ok(Chosen { decode, prefill: None, todo: prompt, fetch: None })
     }
 
     /// Lets the engine that this suspect ran on, if any, run another.
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -115,6 +115,7 @@
             connections,
             after: self.task.last.or(routed.after),
             streams: routed.route.streams,
+            fetch: self.chosen.fetch,
         })
     }
 
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -14,7 +14,7 @@
         manifest::EngineSpec,
         plan,
         poison::Standing,
-        route::{choose, Pick, Place, Work},
+        route::{choose, shared_key, Pick, Place, Work},
     },
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -79,6 +79,8 @@
     pub(super) prefill: Option<Target>,
     /// Tokens to prefill.
     pub(super) todo: Tokens,
+    /// Engine that has the prompt's shared part, if the prefilling one does not.
+    pub(super) fetch: Option<std::net::SocketAddr>,
 }
 
 /// An engine with its address.
@@ -213,6 +215,12 @@
             self.admit(&pick, now)?;
         }
         let todo = work.prompt - pick.hit;
+        let fetch = pick.fetch.map(|i| fleet.engines[i].address);
+        if let Some(key) = shared_key(&work).filter(|_| self.request.routed.is_some()) {
+            let reader = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
+            cache.placed.used(key, &reader.id, now);
+            cache.told.push((key, reader.id.clone()));
+        }
         let prefill = pick.prefill.map(|i| {
             let engine = &mut fleet.engines[i];
             engine.breaker.sent();
@@ -231,15 +239,16 @@
         if let Some(routed) = &self.request.routed {
             let split = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={tries} decode={} prefill={split} todo={todo} hit={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={tries} decode={} prefill={split} todo={todo} hit={} fetch={} first_ms={} wait_ms={}",
                 routed.call.id,
                 decode.id,
                 pick.hit,
+                fetch.is_some(),
                 pick.first.as_millis(),
                 pick.wait.as_millis(),
             );
         }
-        Ok(Chosen { decode, prefill, todo })
+        Ok(Chosen { decode, prefill, todo, fetch })
     }
 
     /// Counts the request in the allowance of resends.
