Refuse requests whose queue would make them late; say when it has room

Cause: in fireball bursts 210 prompt tokens arrive a millisecond where 210 can be read with nothing lost; queues grew to 9.8 s and everything was late.

--- a/core/src/error/fault.rs
+++ b/core/src/error/fault.rs
@@ -38,6 +38,14 @@
         self
     }
 
+    /// The same error with the time to come back that the load at hand tells, be it shorter or
+    /// longer than the table's.
+    #[must_use]
+    pub fn retry_in(mut self, wait: Duration) -> Self {
+        self.retry = Some(wait);
+        self
+    }
+
     /// The same error with another outcome.
     #[must_use]
     pub fn outcome(mut self, outcome: Outcome) -> Self {
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -9,7 +9,9 @@
 mod registration;
 mod share;
 
-pub use {cache::*, engine::*, learned::*, load::*, placed::*, prefix::*, registration::*, share::*};
+pub use {
+    cache::*, engine::*, learned::*, load::*, placed::*, prefix::*, registration::*, share::*,
+};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -2,7 +2,10 @@
     super::{MemberInfo, MemberState},
     crate::{
         fleet::Held,
-        ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, PrefixHash, Revision},
+        ids::{
+            CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, PrefixHash,
+            Revision,
+        },
         manifest::{Edit, ManifestRecord},
         order::Holder,
         plan::Demand,
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -140,7 +140,10 @@
                 }
                 let id = self.task.request.name(&self.run);
                 let (todo, ms) = (self.chosen.todo, spent.as_millis());
-                log::info!("run: id={id} prefilled at={} tokens={todo} idle={idle} ms={ms}", target.id);
+                log::info!(
+                    "run: id={id} prefilled at={} tokens={todo} idle={idle} ms={ms}",
+                    target.id
+                );
                 let source = CacheSource { address: target.address, run };
                 Ok(Some(Export::new(&app, source)))
             }
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -6,7 +6,7 @@
     },
     crate::{app::App, ports::CacheSource},
     lentil_core::{
-        admit::{admit, Ask},
+        admit::{admit, join_queue, Ask},
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
         fleet::{Blocks, EngineView},
@@ -211,7 +211,7 @@
             self.arrived(picked.as_ref().map_or(Tokens(0), |p| p.hit));
         }
         let pick = picked?;
-        if tries == 0 && self.request.routed.is_none() {
+        if tries == 0 {
             self.admit(&pick, now)?;
         }
         let todo = work.prompt - pick.hit;
@@ -333,6 +333,9 @@
     /// Admission, with the use that it leads to.
     fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
         let request = &self.request;
+        if let Some(routed) = &request.routed {
+            return join_queue(&request.work.class, pick, routed.deadline - now);
+        }
         let mut gate = self.app.gate();
         let ask = Ask {
             workspace: &request.workspace,
