--- a/core/src/fleet/cache.rs
+++ b/core/src/fleet/cache.rs
@@ -1,6 +1,9 @@
 use {
-    super::{Blocks, Lengths, Placed, BLOCK_TOKENS},
-    crate::ids::{EngineId, PrefixHash},
+    super::{Blocks, Lengths, PartNote, Placed, Progress, BLOCK_TOKENS},
+    crate::{
+        clock::Time,
+        ids::{EngineId, PrefixHash},
+    },
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
     std::collections::HashMap,
@@ -43,7 +46,7 @@
     /// Shared parts of prompts on registered engines.
     pub placed: Placed,
     /// Parts that were placed and are to be told to other instances.
-    pub told: Vec<(PrefixHash, EngineId)>,
+    pub told: Vec<PartNote>,
     slots: HashMap<EngineId, u16>,
     feeds: Vec<Feed>,
     young: HashMap<PrefixHash, Copies>,
@@ -144,6 +147,13 @@
         })
     }
 
+    /// Notes where a shared part is, also for the other instances.
+    pub fn place(&mut self, part: PrefixHash, engine: &EngineId, progress: Progress, now: Time) {
+        let note = PartNote { part, engine: engine.clone(), progress };
+        self.placed.note(&note, now);
+        self.told.push(note);
+    }
+
     /// Number of blocks indexed.
     pub fn len(&self) -> usize {
         self.young.len() + self.old.len()
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -1,11 +1,8 @@
 use {
     super::{MemberInfo, MemberState},
     crate::{
-        fleet::Held,
-        ids::{
-            CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, PrefixHash,
-            Revision,
-        },
+        fleet::{Held, PartNote},
+        ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
         manifest::{Edit, ManifestRecord},
         order::Holder,
         plan::Demand,
@@ -56,7 +53,7 @@
     /// Work of the sender in progress on targets, by datagram.
     Sends(Vec<SendNote>),
     /// Shared parts of prompts that the sender has had read, by datagram.
-    Placed(Vec<(PrefixHash, EngineId)>),
+    Placed(Vec<PartNote>),
 }
 
 /// Demand for one model's engines in one cell.
--- a/core/src/route/share.rs
+++ b/core/src/route/share.rs
@@ -2,7 +2,7 @@
     super::Work,
     crate::{
         clock::Time,
-        fleet::{EngineView, Placed},
+        fleet::{EngineView, Placed, Progress},
         ids::{EngineId, PrefixHash, Tokens},
     },
     smallvec::SmallVec,
@@ -28,6 +28,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Copies {
     held: SmallVec<[usize; 4]>,
+    reading: SmallVec<[usize; 4]>,
     tokens: Tokens,
 }
 
@@ -36,13 +37,21 @@
     pub fn of(engines: &[EngineView], placed: &Placed, work: &Work, now: Time) -> Self {
         let Some(key) = shared_key(work) else { return Self::default() };
         let index = |id: &EngineId| engines.iter().position(|e| e.id == *id && !e.away);
-        let held = placed.holders(key, now).filter_map(index).collect();
-        Self { held, tokens: shared_tokens(work) }
+        let mut copies = Self { tokens: shared_tokens(work), ..Self::default() };
+        for (id, progress) in placed.copies(key, now) {
+            let list = match progress {
+                Progress::Ready => &mut copies.held,
+                Progress::Reading => &mut copies.reading,
+            };
+            list.extend(index(id));
+        }
+        copies
     }
 
     /// Shared tokens that an engine need not prefill, and the engine to fetch them from.
     pub fn at(&self, index: usize) -> (Tokens, Option<usize>) {
-        if self.held.contains(&index) {
+        // A request behind the one that reads the part finds it read.
+        if self.held.contains(&index) || self.reading.contains(&index) {
             return (self.tokens, None);
         }
         match self.held.first() {
--- a/node/src/mesh/handle.rs
+++ b/node/src/mesh/handle.rs
@@ -41,8 +41,8 @@
         Message::Placed(parts) => {
             let now = app.now();
             let mut cache = app.cache();
-            for (part, engine) in parts {
-                cache.placed.used(part, &engine, now);
+            for part in &parts {
+                cache.placed.note(part, now);
             }
         }
         // The rest comes by connection.
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -134,6 +134,7 @@
             Ok(run) => {
                 drop(hold);
                 self.task.succeeded(&target);
+                self.task.placed(&target);
                 let spent = app.now() - begun;
                 if idle {
                     self.learn(spent);
@@ -201,7 +202,9 @@
                 // caller may resume it through any instance.
                 return Ended::CallerGone;
             }
-            hold.prefilled();
+            if hold.prefilled() {
+                self.task.placed(&target);
+            }
             self.leave_origin();
             if check.ended() {
                 self.task.succeeded(&target);
@@ -249,6 +252,11 @@
     }
 
     async fn pass_bytes(&mut self, bytes: bytes::Bytes) -> bool {
+        let now = self.task.app.now();
+        if let Some(latest) = self.task.latest.replace(now) {
+            self.task.gap = self.task.gap.max(now - latest);
+        }
+
         self.send_head().await && self.task.sender.send(Ok(Piece::Bytes(bytes))).await.is_ok()
     }
 
--- a/node/src/run/routed.rs
+++ b/node/src/run/routed.rs
@@ -1,4 +1,7 @@
-use {super::task::Task, lentil_core::ids::RunId};
+use {
+    super::task::{Target, Task},
+    lentil_core::{fleet::Progress, ids::RunId, route::shared_key},
+};
 
 impl Task {
     /// One line for each request that was answered, with where its time went.
@@ -7,18 +10,27 @@
         let Some(routed) = &request.routed else { return };
         let first = self.first.map_or(0, |t| (t - request.arrived).as_millis());
         log::info!(
-            "run: id={} route={} status={} prompt={} output={} first_ms={first} total_ms={} sends={} events={}",
+            "run: id={} route={} status={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
             routed.call.id,
             request.class,
             self.status,
             request.work.prompt,
             request.work.output,
             (now - request.arrived).as_millis(),
+            self.gap.as_millis(),
             self.arrivals,
             self.last.unwrap_or(0),
         );
     }
 
+    /// Notes that an engine has the request's shared part in memory.
+    pub(super) fn placed(&self, target: &Target) {
+        let work = &self.request.work;
+        if let Some(key) = shared_key(work).filter(|_| self.request.routed.is_some()) {
+            self.app.cache().place(key, &target.id, Progress::Ready, self.app.now());
+        }
+    }
+
     /// Notes how a request that was passed on ended.
     pub(super) fn finish_routed(&self) {
         let request = &self.request;
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -9,7 +9,7 @@
         admit::{admit, join_queue, Ask},
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
-        fleet::{Blocks, EngineView},
+        fleet::{Blocks, EngineView, Progress},
         ids::{EngineId, Tokens},
         manifest::EngineSpec,
         plan,
@@ -66,6 +66,9 @@
     pub(super) prefills: u32,
     /// Whether the head of an answer was passed on.
     pub(super) headed: bool,
+    /// When the latest piece was passed on, and the longest pause before one.
+    pub(super) latest: Option<Time>,
+    pub(super) gap: Duration,
     /// Status of that head.
     pub(super) status: u16,
     /// The last event passed on.
@@ -110,6 +113,8 @@
             arrivals: 0,
             prefills: 0,
             headed: false,
+            latest: None,
+            gap: Duration::ZERO,
             status: 0,
             last: None,
         }
@@ -218,8 +223,7 @@
         let fetch = pick.fetch.map(|i| fleet.engines[i].address);
         if let Some(key) = shared_key(&work).filter(|_| self.request.routed.is_some()) {
             let reader = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
-            cache.placed.used(key, &reader.id, now);
-            cache.told.push((key, reader.id.clone()));
+            cache.place(key, &reader.id, Progress::Reading, now);
         }
         let prefill = pick.prefill.map(|i| {
             let engine = &mut fleet.engines[i];
