--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -18,8 +18,9 @@
 const DRIFT: f64 = 0.05;
 /// Difference in seconds below which engines with known work count as equal.
 const EQUAL: f64 = 0.002;
-/// Seconds that a shared part is on its way from another engine.
-const FETCH: f64 = 0.015;
+/// Seconds that another copy of a shared part costs: its way takes 15 ms, and the memory that it
+/// fills makes other parts yield.
+const FETCH: f64 = 0.08;
 const OTHER_ZONE: f64 = 0.002; // seconds
 const OTHER_REGION: f64 = 0.25; // seconds
 
--- a/core/src/settings/hosted.rs
+++ b/core/src/settings/hosted.rs
@@ -19,6 +19,8 @@
     pub zones: BTreeMap<Zone, Region>,
     /// Resends that all instances together may make.
     pub resends: ResendSettings,
+    /// Time within which a leaving target must get no new work.
+    pub drain: Millis,
     /// Time from a stop signal until the process is killed, in seconds.
     pub grace: f64,
     /// Lease of this instance's entry among the instances.
@@ -52,6 +54,7 @@
                 found.push(Problem::new(path, text));
             }
         };
+        require(self.drain.0 >= 500, "hosted.drain", "shorter than 500 ms");
         require(self.grace > 0.0, "hosted.grace", "must be greater than 0");
         let ratio = (0.0..=1.0).contains(&self.resends.ratio);
         require(ratio, "hosted.resends.ratio", "must lie between 0 and 1");
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -6,6 +6,7 @@
     lentil_core::{
         clock::Time,
         ids::{EngineId, Revision},
+        mesh::News,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -15,24 +16,25 @@
     tokio::time::sleep,
 };
 
-/// Pause between two looks for changes: targets renew their entries often, and each look is a
-/// call that is counted; leaving targets must be known within two seconds.
-const PACE: Duration = Duration::from_millis(600);
+/// Part of the time within which leaving targets must be known that passes between two looks:
+/// targets renew their entries often, and each look is a call that is counted.
+const PACE: f64 = 0.45;
 /// Longest wait of one look.
-const WAIT: Duration = Duration::from_secs(1);
+const WAIT: Duration = Duration::from_millis(2_500);
 /// Pause after a look that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time after an outage within which targets whose entries lapsed enter themselves again.
 const RETURN: Duration = Duration::from_millis(2_200);
 /// Time between two readings of all targets, in case a change was never told.
-const REREAD: Duration = Duration::from_secs(10);
+const REREAD: Duration = Duration::from_secs(30);
 
 /// Follows the targets of the directory for ever.
 pub async fn follow_targets(app: Arc<App>, directory: Arc<dyn Directory>) {
     let mut follower = Follower::default();
+    let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.span());
     loop {
         match follower.look(&app, directory.as_ref()).await {
-            Ok(()) => sleep(PACE).await,
+            Ok(()) => sleep(drain.mul_f64(PACE)).await,
             Err(error) => {
                 follower.failed(&app, &error);
                 sleep(PAUSE).await;
@@ -114,7 +116,12 @@
         match change {
             TargetChange::There(target) => {
                 self.missing.remove(&target.id);
-                if app.fleet().register(&target) {
+                let fresh = app.fleet().register(&target);
+                if fresh && target.leaving {
+                    let (engine, boot) = (target.id.clone(), target.boot);
+                    app.view().tell(News::Leaving { engine, boot });
+                }
+                if fresh {
                     log::info!(
                         "directory: target={} boot={} service={} address={} role={} leaving={}",
                         target.id,
