--- a/node/src/daemon/args.rs
+++ b/node/src/daemon/args.rs
@@ -1,10 +1,10 @@
 use {
-    super::serve,
+    super::{serve, Sink},
     crate::adapters::{HttpEngine, HttpList, HttpService, HttpStore, HttpWeights},
     anyhow::{bail, Context, Result},
     argh::FromArgs,
     lentil_core::settings::Settings,
-    simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode},
+    simplelog::{ConfigBuilder, LevelFilter, WriteLogger},
     std::{fs, path::Path, path::PathBuf, sync::Arc},
 };
 
@@ -58,7 +58,7 @@
 fn start_log(settings: &Settings) -> Result<()> {
     let level = settings.log.parse().unwrap_or(LevelFilter::Info);
     let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never)?;
+    WriteLogger::init(level, config, Sink::new(std::io::stdout()))?;
     Ok(())
 }
 
@@ -80,6 +80,7 @@
         true => start_log(&settings).and_then(|()| hosted(settings)),
         false => serve_settings(settings),
     };
+    log::logger().flush();
     match served {
         Ok(()) => 0,
         Err(error) => {
