--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -25,6 +25,8 @@
     pub targets: HashMap<(ServiceId, TargetId), TargetView>,
     /// Engines that run a suspect of this instance.
     pub suspects: HashSet<EngineId>,
+    /// When the directory last told what targets there are.
+    pub looked: Time,
     pauses: HashMap<EngineId, Pause>,
     learned: HashMap<ModelId, Rates>,
 }
--- a/node/src/commands/pass_on.rs
+++ b/node/src/commands/pass_on.rs
@@ -95,6 +95,7 @@
         prompt: String::new(),
         routed: Some(Routed {
             call: Arc::new(call),
+            version: table.version,
             route,
             deadline: arrived + patience,
             after: facts.after,
--- a/node/src/follow/list.rs
+++ b/node/src/follow/list.rs
@@ -6,6 +6,7 @@
     },
     lentil_core::{
         ids::{EngineId, Incarnation, InstanceId},
+        limit::Backoff,
         mesh::News,
     },
     std::{sync::Arc, time::Duration},
@@ -14,14 +15,21 @@
 
 /// Time between two reads of the list; a leaving target is to be heard of within 3 s.
 const PERIOD: Duration = Duration::from_millis(500);
+/// Longest pause beside it while the list is not available.
+const MOST: Duration = Duration::from_secs(4);
 
 /// Follows the platform's list: entry instances are greeted, leaving targets get no new work.
 pub async fn follow_list(app: Arc<App>) {
     let mut version = 0;
+    let mut backoff = Backoff::new(PERIOD, MOST);
     loop {
         match app.ports.list.changes(version).await {
-            Err(error) => log::debug!("list: {error}"),
+            Err(error) => {
+                log::debug!("list: {error}");
+                sleep(backoff.failed(rand::random())).await;
+            }
             Ok(changes) => {
+                backoff.succeeded();
                 version = changes.version;
                 for listed in &changes.changed {
                     take(&app, listed).await;
--- a/node/src/follow/routes.rs
+++ b/node/src/follow/routes.rs
@@ -1,19 +1,22 @@
 use {
     crate::{app::App, ports::Directory},
-    lentil_core::ids::Revision,
+    lentil_core::{ids::Revision, limit::Backoff},
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
 /// Longest wait of one look; a connection that has gone silent is noticed after it.
 const WAIT: Duration = Duration::from_secs(5);
-/// Pause after a look that failed.
+/// Pause while there are no routes yet.
 const PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after looks that failed.
+const MOST: Duration = Duration::from_millis(1_000);
 
 /// Follows the routes of the directory for ever; an older version is never put in force.
 pub async fn follow_routes(app: Arc<App>, directory: Arc<dyn Directory>) {
     let mut at: Option<Revision> = None;
     let mut failing = false;
+    let mut backoff = Backoff::new(PAUSE, MOST);
     loop {
         let found = match at {
             Some(at) => directory.newer_routes(at, WAIT).await,
@@ -25,6 +28,7 @@
                     log::info!("routes: store regained");
                 }
                 failing = false;
+                backoff.succeeded();
                 at = Some(revision);
                 let Some(table) = table else {
                     if app.routes().is_err() {
@@ -41,11 +45,11 @@
             }
             Err(error) => {
                 if !failing {
-                    log::warn!("routes: {error}");
+                    log::warn!("routes: store lost: {error}");
                 }
                 failing = true;
                 at = None;
-                sleep(PAUSE).await;
+                sleep(backoff.failed(rand::random())).await;
             }
         }
     }
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -6,6 +6,7 @@
     lentil_core::{
         clock::Time,
         ids::{EngineId, Revision},
+        limit::Backoff,
         mesh::News,
     },
     std::{
@@ -21,8 +22,9 @@
 const PACE: f64 = 0.45;
 /// Longest wait of one look.
 const WAIT: Duration = Duration::from_millis(2_500);
-/// Pause after a look that failed.
-const PAUSE: Duration = Duration::from_millis(250);
+/// First and longest pause after looks that failed: calls are counted in an outage as well, and
+/// what is missed must be known within the bound after it.
+const PAUSES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_000)];
 /// Time after an outage within which targets whose entries lapsed enter themselves again.
 const RETURN: Duration = Duration::from_millis(2_200);
 /// Time between two readings of all targets, in case a change was never told.
@@ -31,13 +33,17 @@
 /// Follows the targets of the directory for ever.
 pub async fn follow_targets(app: Arc<App>, directory: Arc<dyn Directory>) {
     let mut follower = Follower::default();
+    let mut backoff = Backoff::new(PAUSES[0], PAUSES[1]);
     let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.span());
     loop {
         match follower.look(&app, directory.as_ref()).await {
-            Ok(()) => sleep(drain.mul_f64(PACE)).await,
+            Ok(()) => {
+                backoff.succeeded();
+                sleep(drain.mul_f64(PACE)).await;
+            }
             Err(error) => {
                 follower.failed(&app, &error);
-                sleep(PAUSE).await;
+                sleep(backoff.failed(rand::random())).await;
             }
         }
     }
@@ -69,6 +75,7 @@
         };
         self.recovered(app);
         self.at = Some(found.revision);
+        app.fleet().looked = app.now();
         for change in found.changes {
             self.take(app, change);
         }
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -328,7 +328,12 @@
         self.task.request.work.avoid.push(target.id.clone());
         self.task.note_failure(target, error).await;
         let id = self.task.request.name(&self.run);
-        log::info!("run: {id} failed on engine {}: {error}", target.id);
+        let (begun, sends) = (self.task.begun, self.task.arrivals);
+        let at = &target.id;
+        log::info!(
+            "run: id={id} failed at={at} begun={begun} sends={sends} error={error:?}",
+            error = error.to_string()
+        );
         Fault::new(kind, format!("engine {:?}: {error}", target.id.as_str()))
     }
 }
--- a/node/src/run/blame.rs
+++ b/node/src/run/blame.rs
@@ -21,6 +21,9 @@
                 true => engine.breaker.failed(self.app.now()),
                 false => engine.breaker.trip(self.app.now()),
             }
+            if !engine.breaker.allows(self.app.now()) {
+                log::info!("breaker: target={} open after={:?}", target.id, error.to_string());
+            }
         }
         if matches!(error, EngineError::Lost(_)) && self.has_crashed(target).await {
             self.blame(target);
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -2,7 +2,7 @@
     crate::ports::RawCall,
     lentil_core::{
         clock::Time,
-        ids::{CallerId, Fingerprint, WorkspaceId},
+        ids::{CallerId, Fingerprint, Revision, WorkspaceId},
         manifest::ClassName,
         route::Work,
         routes::Route,
@@ -40,6 +40,8 @@
 pub struct Routed {
     /// The request.
     pub call: Arc<RawCall>,
+    /// Version of the routes in force when it arrived.
+    pub version: Revision,
     /// The route that was in force when it arrived.
     pub route: Arc<Route>,
     /// When its final answer must be given.
--- a/node/src/run/routed.rs
+++ b/node/src/run/routed.rs
@@ -23,6 +23,18 @@
         );
     }
 
+    /// One line for a request that ended before its answer was whole.
+    pub(super) fn log_early_end(&self, how: &str, why: &str) {
+        let Some(routed) = &self.request.routed else { return };
+        let waited = (self.app.now() - self.request.arrived).as_millis();
+        log::info!(
+            "run: id={} {how} after_ms={waited} sends={} events={} why={why:?}",
+            routed.call.id,
+            self.arrivals,
+            self.last.unwrap_or(0),
+        );
+    }
+
     /// Notes that an engine has the request's shared part in memory.
     pub(super) fn placed(&self, target: &Target) {
         let work = &self.request.work;
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -243,8 +243,10 @@
         if let Some(routed) = &self.request.routed {
             let split = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={tries} decode={} prefill={split} todo={todo} hit={} fetch={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={tries} routes={} targets_age_ms={} decode={} prefill={split} todo={todo} hit={} fetch={} first_ms={} wait_ms={}",
                 routed.call.id,
+                routed.version,
+                (now - fleet.looked).as_millis(),
                 decode.id,
                 pick.hit,
                 fetch.is_some(),
@@ -378,6 +380,7 @@
     }
 
     fn left(self) {
+        self.log_early_end("left", "the caller has gone");
         let request = &self.request;
         let service = request.work.model.as_str();
         self.app.meter.requests.with_label_values(&[service, request.class.as_str(), "left"]).inc();
@@ -388,6 +391,10 @@
         if self.begun && fault.outcome == Outcome::NotRun {
             fault.outcome = Outcome::Unknown;
         }
+        if self.headed {
+            // The head is gone: the caller sees the answer break off, and no status tells why.
+            self.log_early_end("cut", &fault.to_string());
+        }
         let request = &self.request;
         let (service, class) = (request.work.model.as_str(), request.class.as_str());
         let code = fault.kind.answer().code;
