--- a/node/src/run/blame.rs
+++ b/node/src/run/blame.rs
@@ -1,7 +1,8 @@
 use {
     super::task::{Target, Task},
-    crate::ports::EngineError,
-    lentil_core::{mesh::News, poison::Crash},
+    crate::{app::App, ports::EngineError},
+    lentil_core::{ids::Fingerprint, mesh::News, poison::Crash},
+    std::sync::Arc,
 };
 
 impl Task {
@@ -14,38 +15,60 @@
 
     /// Notes that an engine failed, and whether this request may have crashed it.
     pub(super) async fn note_failure(&self, target: &Target, error: &EngineError) {
-        let refused = matches!(error, EngineError::Refused(_));
-        if let Some(engine) = self.app.fleet().engine(&target.id) {
-            match refused {
-                // It lives, but takes nothing.
-                true => engine.breaker.failed(self.app.now()),
-                false => engine.breaker.trip(self.app.now()),
-            }
-            if !engine.breaker.allows(self.app.now()) {
-                log::info!("breaker: target={} open after={:?}", target.id, error.to_string());
-            }
+        // One lost answer or a short time-out tells little of a target that many requests share:
+        // it is shut out after several in a row, or when it has crashed.
+        let routed = self.request.routed.is_some();
+        let lives = matches!(error, EngineError::Refused(_))
+            || routed && !matches!(error, EngineError::NotSent(_) | EngineError::Misdirected);
+        shut_out(&self.app, target, lives, &error.to_string());
+        if !matches!(error, EngineError::Lost(_)) {
+            return;
         }
-        if matches!(error, EngineError::Lost(_)) && self.has_crashed(target).await {
-            self.blame(target);
+        let (app, print, target) = (self.app.clone(), self.request.print, target.clone());
+        if routed {
+            // The request goes on elsewhere meanwhile.
+            tokio::spawn(async move { investigate(&app, print, &target).await });
+        } else {
+            investigate(&app, print, &target).await;
         }
     }
+}
 
-    /// Whether the engine's process is gone or another one stands in its place. A cut connection
-    /// alone is not a crash.
-    async fn has_crashed(&self, target: &Target) -> bool {
-        match self.app.ports.engines.report(target.address).await {
-            Ok(report) => report.boot != target.boot,
-            Err(EngineError::NotSent(_)) => true,
-            Err(_) => false,
-        }
+/// Counts a failure against a target, or shuts it out at once.
+fn shut_out(app: &App, target: &Target, lives: bool, why: &str) {
+    let now = app.now();
+    let mut fleet = app.fleet();
+    let Some(engine) = fleet.engine(&target.id) else { return };
+    let before = engine.breaker.allows(now);
+    match lives {
+        true => engine.breaker.failed(now),
+        false => engine.breaker.trip(now),
+    }
+    if before && !engine.breaker.allows(now) {
+        log::info!("breaker: target={} open after={why:?}", target.id);
+    }
+}
+
+/// Finds out whether a target that lost an answer has crashed.
+async fn investigate(app: &Arc<App>, print: Fingerprint, target: &Target) {
+    if !has_crashed(app, target).await {
+        return;
+    }
+    shut_out(app, target, false, "it has crashed");
+    let crash = Crash { engine: target.id.clone(), boot: target.boot };
+    let now = app.now();
+    if app.quarantine().crashed(print, crash.clone(), now) {
+        log::warn!("poison: request {print} ran on engine {} as it crashed", target.id);
+        app.view().tell(News::Crashed { print, crash });
     }
+}
 
-    fn blame(&self, target: &Target) {
-        let (print, now) = (self.request.print, self.app.now());
-        let crash = Crash { engine: target.id.clone(), boot: target.boot };
-        if self.app.quarantine().crashed(print, crash.clone(), now) {
-            log::warn!("poison: request {print} ran on engine {} as it crashed", target.id);
-            self.app.view().tell(News::Crashed { print, crash });
-        }
+/// Whether the engine's process is gone or another one stands in its place. A cut connection
+/// alone is not a crash.
+async fn has_crashed(app: &App, target: &Target) -> bool {
+    match app.ports.engines.report(target.address).await {
+        Ok(report) => report.boot != target.boot,
+        Err(EngineError::NotSent(_)) => true,
+        Err(_) => false,
     }
 }
