--- a/node/src/meter/metrics.rs
+++ b/node/src/meter/metrics.rs
@@ -42,6 +42,14 @@
     pub revision: IntGauge,
     /// Fingerprints that crashed targets.
     pub suspects: IntGauge,
+    /// Targets that the directory names.
+    pub known: IntGauge,
+    /// Targets that get no requests because they failed.
+    pub shut: IntGauge,
+    /// Milliseconds since the directory last told of targets.
+    pub age: IntGauge,
+    /// Other instances that are thought to live.
+    pub members: IntGauge,
 }
 
 impl Default for Meter {
@@ -102,6 +110,10 @@
             claims: counters("lentil_claims_total", "Claims of run-once requests", &["end"]),
             revision: gauge("lentil_manifest_revision", "Revision of the manifest in force"),
             suspects: gauge("lentil_suspects", "Fingerprints that crashed targets"),
+            known: gauge("lentil_targets_known", "Targets that the directory names"),
+            shut: gauge("lentil_targets_shut_out", "Targets without requests since they failed"),
+            age: gauge("lentil_directory_age_ms", "Milliseconds since the directory told of targets"),
+            members: gauge("lentil_members", "Other instances that are thought to live"),
             registry: r,
         }
     }
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -26,6 +26,16 @@
         let count = app.fleet().count(role) as i64;
         app.meter.roles.with_label_values(&[&role.to_string()]).set(count);
     }
+    let now = app.now();
+    let (known, shut, age) = {
+        let fleet = app.fleet();
+        let shut = fleet.engines.iter().filter(|e| !e.breaker.allows(now)).count();
+        (fleet.engines.len(), shut, (now - fleet.looked).as_millis())
+    };
+    app.meter.known.set(known as i64);
+    app.meter.shut.set(shut as i64);
+    app.meter.age.set(age as i64);
+    app.meter.members.set(app.view().live().count() as i64);
     app.meter.suspects.set(app.quarantine().len() as i64);
     text(200, app.meter.text())
 }
--- a/node/src/run/routed.rs
+++ b/node/src/run/routed.rs
@@ -27,9 +27,11 @@
     pub(super) fn log_early_end(&self, how: &str, why: &str) {
         let Some(routed) = &self.request.routed else { return };
         let waited = (self.app.now() - self.request.arrived).as_millis();
+        let age = (self.app.now() - self.app.fleet().looked).as_millis();
         log::info!(
-            "run: id={} {how} after_ms={waited} sends={} events={} why={why:?}",
+            "run: id={} {how} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
             routed.call.id,
+            routed.version,
             self.arrivals,
             self.last.unwrap_or(0),
         );
@@ -51,6 +53,7 @@
         let now = self.app.now();
         let first = self.first.unwrap_or(now) - request.arrived;
         self.app.meter.first.with_label_values(&[class]).observe(first.as_secs_f64());
+        self.app.meter.between.with_label_values(&[class]).observe(self.gap.as_secs_f64());
         let good = self.status < 400;
         let late = first > request.work.class.first.span();
         let spent = (!good).then_some("status").or(late.then_some("first"));
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -391,10 +391,9 @@
         if self.begun && fault.outcome == Outcome::NotRun {
             fault.outcome = Outcome::Unknown;
         }
-        if self.headed {
-            // The head is gone: the caller sees the answer break off, and no status tells why.
-            self.log_early_end("cut", &fault.to_string());
-        }
+        // Once the head is gone the caller sees the answer break off, and no status tells why.
+        let how = if self.headed { "cut" } else { "given_up" };
+        self.log_early_end(how, &fault.to_string());
         let request = &self.request;
         let (service, class) = (request.work.model.as_str(), request.class.as_str());
         let code = fault.kind.answer().code;
