--- a/core/src/fleet/tests.rs
+++ b/core/src/fleet/tests.rs
@@ -73,3 +73,34 @@
     view.sent(Tokens(1), true, at(1_500));
     assert!(!view.idle_since(at(1_000)), "work sent since");
 }
+
+#[test]
+fn total_forgets_instances_that_fell_silent() {
+    let at = Time::from_millis;
+    let mut shared = Shared::default();
+    shared.began(Tokens(10));
+    shared.heard(&"a".parse().unwrap(), Held { tokens: 100, runs: 1 }, at(0));
+    shared.heard(&"b".parse().unwrap(), Held { tokens: 1_000, runs: 2 }, at(1_500));
+    assert_eq!(shared.total(at(1_600)), Held { tokens: 1_110, runs: 4 });
+    assert_eq!(shared.total(at(2_500)), Held { tokens: 1_010, runs: 3 });
+    shared.ended(Tokens(10));
+    shared.ended(Tokens(10));
+    assert_eq!(shared.own, Held::default(), "never below nothing");
+}
+
+#[test]
+fn note_keeps_a_part_ready_and_forgets_with_its_engine() {
+    let at = Time::from_millis;
+    let mut placed = Placed::default();
+    let (part, engine) = (PrefixHash(1), "e".parse::<EngineId>().unwrap());
+    let note = |progress| PartNote { part, engine: engine.clone(), progress };
+    placed.note(&note(Progress::Ready), at(0));
+    placed.note(&note(Progress::Reading), at(100));
+    let seen: Vec<_> = placed.copies(part, at(200)).collect();
+    assert_eq!(seen, [(&engine, Progress::Ready)]);
+    placed.note(&note(Progress::Reading), at(60_000));
+    let seen: Vec<_> = placed.copies(part, at(60_000)).map(|(_, p)| p).collect();
+    assert_eq!(seen, [Progress::Reading], "what was ready a minute ago has yielded");
+    placed.forget(&engine);
+    assert_eq!(placed.copies(part, at(60_000)).count(), 0);
+}
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -3,8 +3,10 @@
     crate::{
         clock::Time,
         error::ErrorKind,
-        fleet::{prefix_blocks, CacheIndex, EngineView, Load, BLOCK},
-        ids::{Millis, TokenRate, Tokens},
+        fleet::{
+            prefix_blocks, CacheIndex, EngineView, Load, PartNote, Progress, Registration, BLOCK,
+        },
+        ids::{Incarnation, Millis, PrefixHash, TokenRate, Tokens},
         manifest::{ClassSpec, EngineRates, EngineSpec, Role},
     },
 };
@@ -110,3 +112,92 @@
     engines[1].load.reported(Load { queued: Tokens(0), running: 40, waiting: 0 }, NOW);
     assert_eq!(choose(&engines, &cache, &work(100), &place(), NOW).unwrap().decode, 0);
 }
+
+/// A registered engine with work in progress.
+fn registered(id: &str, role: Role, tokens: u64, runs: u32) -> EngineView {
+    let target = Registration {
+        id: id.parse().unwrap(),
+        boot: Incarnation(1),
+        service: "m".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "nl".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        role,
+        slots: 32,
+        leaving: false,
+        weights: None,
+    };
+    let mut view = EngineView::registered(&target);
+    let shared = view.load.shared.as_mut().unwrap();
+    shared.began(Tokens(tokens));
+    (1..runs).for_each(|_| shared.began(Tokens(0)));
+    view
+}
+
+/// A prompt with a shared part of 10,000 tokens and 1,000 of its own.
+fn shared_work() -> Work {
+    Work {
+        prompt: Tokens(11_000),
+        blocks: [PrefixHash(1), PrefixHash(2)].into_iter().collect(),
+        lengths: [10_000, 1_000].into_iter().collect(),
+        ..work(1)
+    }
+}
+
+fn note(engine: &str, progress: Progress) -> PartNote {
+    PartNote { part: PrefixHash(1), engine: engine.parse().unwrap(), progress }
+}
+
+#[test]
+fn choose_goes_to_the_holder_of_a_shared_part_or_fetches_from_it() {
+    let mut cache = CacheIndex::default();
+    cache.placed.note(&note("p0", Progress::Ready), NOW);
+    let decode = registered("d", Role::Decode, 0, 0);
+    let idle = [
+        registered("p0", Role::Prefill, 0, 1),
+        registered("p1", Role::Prefill, 0, 1),
+        decode.clone(),
+    ];
+    let pick = choose(&idle, &cache, &shared_work(), &place(), NOW).unwrap();
+    assert_eq!((pick.prefill, pick.hit, pick.fetch), (Some(0), Tokens(10_000), None));
+    let busy =
+        [registered("p0", Role::Prefill, 20_000, 1), registered("p1", Role::Prefill, 0, 1), decode];
+    let pick = choose(&busy, &cache, &shared_work(), &place(), NOW).unwrap();
+    assert_eq!((pick.prefill, pick.hit, pick.fetch), (Some(1), Tokens(10_000), Some(0)));
+}
+
+#[test]
+fn choose_does_not_fetch_what_is_still_being_read() {
+    let mut cache = CacheIndex::default();
+    cache.placed.note(&note("p0", Progress::Reading), NOW);
+    let engines = [
+        registered("p0", Role::Prefill, 11_000, 1),
+        registered("p1", Role::Prefill, 0, 1),
+        registered("d", Role::Decode, 0, 0),
+    ];
+    let pick = choose(&engines, &cache, &shared_work(), &place(), NOW).unwrap();
+    // Behind the one that reads it, or read once more elsewhere; never asked for.
+    assert_eq!(pick.fetch, None);
+    assert!(pick.prefill == Some(0) || pick.hit == Tokens(0), "{pick:?}");
+}
+
+#[test]
+fn choose_keeps_long_prefills_off_engines_that_decode_much() {
+    let cache = CacheIndex::default();
+    let long = Work { prompt: Tokens(4_000), lengths: [4_000].into_iter().collect(), ..work(1) };
+    let split = |runs: u32| {
+        let engines =
+            [registered("p", Role::Prefill, 20_000, 1), registered("d", Role::Decode, 0, runs)];
+        choose(&engines, &cache, &long, &place(), NOW).unwrap().prefill.is_some()
+    };
+    assert!(!split(1), "an idle engine reads it beside decoding");
+    assert!(split(12), "twelve streams would be held up");
+}
+
+#[test]
+fn choose_avoids_engines_that_failed_the_request() {
+    let engines = [registered("d0", Role::Decode, 0, 1), registered("d1", Role::Decode, 0, 20)];
+    let cache = CacheIndex::default();
+    let failed = Work { avoid: ["d0".parse().unwrap()].into_iter().collect(), ..work(1) };
+    assert_eq!(choose(&engines, &cache, &failed, &place(), NOW).unwrap().decode, 1);
+}
--- /dev/null
+++ b/core/tests/overload.rs
@@ -0,0 +1,131 @@
+//! Load above what the engines carry, played in virtual time with the decisions that the daemon
+//! calls: what callers get with and without early refusal.
+
+use {
+    lentil_core::{
+        admit::join_queue,
+        clock::Time,
+        fleet::{CacheIndex, EngineView, Registration},
+        ids::{Incarnation, Millis, PrefixHash, Tokens},
+        manifest::{ClassSpec, Role},
+        route::{choose, Place, Work},
+    },
+    std::{collections::BinaryHeap, time::Duration},
+};
+
+/// Prompt tokens of a request, and those that an engine reads in a second.
+const PROMPT: u64 = 4_000;
+const RATE: f64 = 30_000.0;
+const ENGINES: usize = 4;
+/// Requests that the prefilling engines carry in a second.
+const CAPACITY: f64 = ENGINES as f64 * RATE / PROMPT as f64;
+/// Streams on each decoding engine.
+const STREAMS: usize = 40;
+/// Length of the load.
+const LENGTH: f64 = 10.0;
+
+#[derive(Debug, Default)]
+struct Outcome {
+    in_time: usize,
+    late: usize,
+    refused: usize,
+    /// Longest wait of a request that was admitted.
+    longest: f64,
+}
+
+fn engine(i: usize, role: Role) -> EngineView {
+    EngineView::registered(&Registration {
+        id: format!("{role}-{i}").parse().unwrap(),
+        boot: Incarnation(1),
+        service: "s".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        role,
+        slots: 64,
+        leaving: false,
+        weights: None,
+    })
+}
+
+fn work(number: u64) -> Work {
+    let first = Millis(800);
+    Work {
+        model: "s".parse().unwrap(),
+        adapter: None,
+        prompt: Tokens(PROMPT),
+        output: Tokens(20),
+        blocks: [PrefixHash(number)].into_iter().collect(),
+        lengths: [PROMPT as u32].into_iter().collect(),
+        avoid: Default::default(),
+        class: ClassSpec { first, between: Millis(300), deadline: Millis(6_000), priority: 1 },
+    }
+}
+
+/// Plays `load` times the capacity; each engine reads one prompt after another.
+fn play(load: f64, admission: bool) -> Outcome {
+    let mut engines: Vec<EngineView> = (0..ENGINES).map(|i| engine(i, Role::Prefill)).collect();
+    engines.extend((0..ENGINES).map(|i| engine(i, Role::Decode)));
+    for decode in &mut engines[ENGINES..] {
+        let streams = decode.load.shared.as_mut().unwrap();
+        (0..STREAMS).for_each(|_| streams.began(Tokens(0)));
+    }
+    let cache = CacheIndex::default();
+    let mut free = [0.0_f64; ENGINES];
+    let mut ends: BinaryHeap<(std::cmp::Reverse<u64>, usize)> = BinaryHeap::new();
+    let mut outcome = Outcome::default();
+    let count = (CAPACITY * load * LENGTH) as u64;
+    for number in 0..count {
+        let at = number as f64 / (CAPACITY * load);
+        let now = Time::from_secs_f64(at);
+        while ends.peek().is_some_and(|(end, _)| end.0 <= now.as_micros()) {
+            let (_, i) = ends.pop().unwrap();
+            engines[i].load.shared.as_mut().unwrap().ended(Tokens(PROMPT));
+        }
+        let place = Place {
+            region: "r".parse().unwrap(),
+            zone: "z".parse().unwrap(),
+            instances: 1,
+            small: Tokens(0),
+            salt: number,
+        };
+        let work = work(number);
+        let pick = choose(&engines, &cache, &work, &place, now).unwrap();
+        let left = Duration::from_millis(6_000);
+        if admission && join_queue(&work.class, &pick, left).is_err() {
+            outcome.refused += 1;
+            continue;
+        }
+        // Prompts read beside decoding are not part of this load.
+        let Some(i) = pick.prefill else { continue };
+        engines[i].load.shared.as_mut().unwrap().began(Tokens(PROMPT));
+        let end = free[i].max(at) + PROMPT as f64 / RATE;
+        free[i] = end;
+        ends.push((std::cmp::Reverse(Time::from_secs_f64(end).as_micros()), i));
+        let waited = end - at;
+        outcome.longest = outcome.longest.max(waited);
+        match waited <= 0.8 {
+            true => outcome.in_time += 1,
+            false => outcome.late += 1,
+        }
+    }
+    outcome
+}
+
+#[test]
+fn join_queue_keeps_goodput_under_overload() {
+    for load in [2.0, 4.0] {
+        let ours = play(load, true);
+        let fifo = play(load, false);
+        let carried = CAPACITY * LENGTH;
+        assert!(ours.in_time as f64 >= 0.9 * carried, "load {load}: {ours:?} of {carried}");
+        assert!(ours.longest <= 1.0, "load {load}: {ours:?}");
+        assert!(fifo.in_time * 2 < ours.in_time, "load {load}: {fifo:?} without, {ours:?} with");
+    }
+}
+
+#[test]
+fn join_queue_refuses_nothing_below_capacity() {
+    let ours = play(0.8, true);
+    assert_eq!((ours.refused, ours.late), (0, 0), "{ours:?}");
+}
--- a/daemon/tests/soak/callers.rs
+++ b/daemon/tests/soak/callers.rs
@@ -104,7 +104,7 @@
         let answer = if sent.is_ok() { caller.answer().await } else { None };
         let goes_on = answer
             .as_ref()
-            .is_some_and(|a| a.whole && !a.header("connection").is_some_and(|c| c == "close"));
+            .is_some_and(|a| a.whole && a.header("connection").is_none_or(|c| c != "close"));
         history.lock().unwrap().push(Asked { id, kind, answer });
         if goes_on {
             open = Some(caller);
--- a/node/src/meter/metrics.rs
+++ b/node/src/meter/metrics.rs
@@ -112,7 +112,10 @@
             suspects: gauge("lentil_suspects", "Fingerprints that crashed targets"),
             known: gauge("lentil_targets_known", "Targets that the directory names"),
             shut: gauge("lentil_targets_shut_out", "Targets without requests since they failed"),
-            age: gauge("lentil_directory_age_ms", "Milliseconds since the directory told of targets"),
+            age: gauge(
+                "lentil_directory_age_ms",
+                "Milliseconds since the directory told of targets",
+            ),
             members: gauge("lentil_members", "Other instances that are thought to live"),
             registry: r,
         }
