Instances see up to 64 others; with many, those of other zones are told of sends less often

Cause: on 61 instances each saw 24 others, so that half of the long prompts found no holder of their part and waits of 1.5 s were foreseen as none.

--- a/core/src/mesh/view.rs
+++ b/core/src/mesh/view.rs
@@ -8,7 +8,7 @@
 };
 
 /// Instances of the own region in a view at most.
-pub const NEAR: usize = 24;
+pub const NEAR: usize = 64;
 /// Instances of other regions in a view at most.
 pub const FAR: usize = 12;
 /// Of so many periods, one beats a member that is believed dead.
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -22,6 +22,9 @@
 /// fills makes other parts yield.
 const FETCH: f64 = 0.08;
 const OTHER_ZONE: f64 = 0.002; // seconds
+/// Seconds of work by which a registered engine in the instance's own availability zone is
+/// preferred: its load is known best there, and bytes between zones cost.
+const OWN_ZONE: f64 = 0.002;
 const OTHER_REGION: f64 = 0.25; // seconds
 
 /// What one engine would cost a request, in seconds.
@@ -75,6 +78,7 @@
     let known = queue + (work.prompt - hit).0 as f64 / rate;
     let way = match () {
         () if engine.region != place.region => OTHER_REGION,
+        () if engine.zone != place.zone && engine.load.shared.is_some() => OWN_ZONE,
         () if engine.zone != place.zone => OTHER_ZONE,
         () => 0.0,
     };
--- a/node/src/mesh/sends.rs
+++ b/node/src/mesh/sends.rs
@@ -2,11 +2,11 @@
     super::send,
     crate::app::App,
     lentil_core::{
-        fleet::Held,
-        ids::EngineId,
-        mesh::{Message, SendNote},
+        fleet::{Held, PartNote},
+        ids::{EngineId, InstanceId},
+        mesh::{Member, Message, SendNote},
     },
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -15,24 +15,44 @@
 /// Notes that fit one datagram.
 const NOTES: usize = 32;
 
-/// Tells the other instances what this one has in work on each target.
+/// Other instances that are told in each round. With more of them, those in other availability
+/// zones are told in fewer rounds: they seldom send to the same targets.
+const EACH_ROUND: usize = 16;
+
+/// Tells the other instances what this one has in work on each target, and where shared parts are.
 pub async fn tell_sends(app: Arc<App>) {
-    let mut told: BTreeMap<EngineId, Held> = BTreeMap::new();
-    loop {
+    let mut told: [BTreeMap<EngineId, Held>; 2] = Default::default();
+    let mut far_parts: Vec<PartNote> = Vec::new();
+    for round in 0_u64.. {
         sleep(PERIOD).await;
-        let notes = notes(&app, &mut told);
-        let placed = std::mem::take(&mut app.cache().told);
-        let members: Vec<_> =
-            app.view().live().map(|m| (m.info.address, m.info.id.clone())).collect();
-        for part in placed.chunks(NOTES) {
-            for (address, id) in &members {
-                send(&app, *address, Some(id.clone()), Message::Placed(part.to_vec())).await;
-            }
+        let parts = std::mem::take(&mut app.cache().told);
+        far_parts.extend(parts.iter().cloned());
+        let (near_peers, far_peers) = peers(&app);
+        tell(&app, &near_peers, &notes(&app, &mut told[0]), &parts).await;
+        let rounds = 1 + (near_peers.len() + far_peers.len()) / EACH_ROUND;
+        if round.is_multiple_of(rounds as u64) {
+            tell(&app, &far_peers, &notes(&app, &mut told[1]), &far_parts).await;
+            far_parts.clear();
         }
-        for part in notes.chunks(NOTES) {
-            for (address, id) in &members {
-                send(&app, *address, Some(id.clone()), Message::Sends(part.to_vec())).await;
-            }
+    }
+}
+
+type Peer = (SocketAddr, InstanceId);
+
+/// Live instances in this one's availability zone, and the others.
+fn peers(app: &App) -> (Vec<Peer>, Vec<Peer>) {
+    let view = app.view();
+    let (near, far): (Vec<_>, Vec<_>) = view.live().partition(|m| m.info.zone == app.settings.zone);
+    let peer = |m: &Member| (m.info.address, m.info.id.clone());
+    (near.into_iter().map(peer).collect(), far.into_iter().map(peer).collect())
+}
+
+async fn tell(app: &App, peers: &[Peer], notes: &[SendNote], parts: &[PartNote]) {
+    let sends = notes.chunks(NOTES).map(|n| Message::Sends(n.to_vec()));
+    let placed = parts.chunks(NOTES).map(|p| Message::Placed(p.to_vec()));
+    for message in sends.chain(placed) {
+        for (address, id) in peers {
+            send(app, *address, Some(id.clone()), message.clone()).await;
         }
     }
 }
