--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -62,10 +62,7 @@
     let whole = direct.map(|d| mixed(d, work));
     let split = prefill.zip(decode).map(|(p, d)| split(p, d, work));
     match (whole, split) {
-        (Some((a, x)), Some((b, y))) => {
-            let small = work.prompt - a.hit < place.small;
-            Ok(if small || x <= y { a } else { b })
-        }
+        (Some((a, x)), Some((b, y))) => Ok(if x <= y { a } else { b }),
         (Some((pick, _)), None) | (None, Some((pick, _))) => Ok(pick),
         (None, None) => {
             let text = format!("no engine is open for model {:?}", work.model.as_str());
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -49,13 +49,7 @@
 }
 
 fn place() -> Place {
-    Place {
-        region: "nl".parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        instances: 1,
-        small: Tokens(0),
-        salt: 7,
-    }
+    Place { region: "nl".parse().unwrap(), zone: "a".parse().unwrap(), instances: 1, salt: 7 }
 }
 
 const NOW: Time = Time::ZERO;
--- a/core/src/route/work.rs
+++ b/core/src/route/work.rs
@@ -38,8 +38,6 @@
     pub zone: Zone,
     /// Instances that send to the same engines, this one included.
     pub instances: u32,
-    /// Prompts with fewer tokens to prefill are not split over two engines.
-    pub small: Tokens,
     /// Different for each request, so that instances with the same view choose differently.
     pub salt: u64,
 }
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -86,7 +86,6 @@
             region: "r".parse().unwrap(),
             zone: "z".parse().unwrap(),
             instances: 1,
-            small: Tokens(0),
             salt: number,
         };
         let work = work(number);
--- a/daemon/tests/soak/callers.rs
+++ b/daemon/tests/faulty/callers.rs
@@ -1,5 +1,5 @@
 use {
-    super::platform::{request, Caller, Message},
+    crate::platform::{request, Caller, Message},
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::{
         net::SocketAddr,
--- a/daemon/tests/soak/check.rs
+++ b/daemon/tests/faulty/check.rs
@@ -1,8 +1,6 @@
 use {
-    super::{
-        callers::{Asked, Kind},
-        platform::{event, events, Message, EVENTS},
-    },
+    super::callers::{Asked, Kind},
+    crate::platform::{event, events, Message, EVENTS},
     std::collections::HashMap,
 };
 
--- a/daemon/tests/soak/faults.rs
+++ b/daemon/tests/faulty/faults.rs
@@ -1,5 +1,6 @@
 use {
-    super::{platform::Act, process::Fleet, proxy::Mode},
+    super::{process::Fleet, proxy::Mode},
+    crate::platform::Act,
     nix::sys::signal::Signal,
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::time::Duration,
--- a/daemon/tests/soak/process.rs
+++ b/daemon/tests/faulty/process.rs
@@ -1,8 +1,6 @@
 use {
-    super::{
-        platform::{config, Message, Runner, Store},
-        proxy::{Mode, Proxy},
-    },
+    super::proxy::{Mode, Proxy},
+    crate::platform::{config, Message, Runner, Store},
     nix::{
         sys::signal::{kill, Signal},
         unistd::Pid,
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak.rs
@@ -3,16 +3,16 @@
 //!
 //! `LENTIL_SOAK=FIRST..LAST cargo test --release -p lentilgrade --test soak` runs other seeds.
 
-#[path = "../../../platform/tests/common/mod.rs"]
+#[path = "../../platform/tests/common/mod.rs"]
 mod platform;
 
-mod callers;
-mod check;
-mod faults;
-mod process;
-mod proxy;
+mod faulty;
 
-use {callers::Callers, faults::Plan, process::Fleet, std::time::Duration, tokio::time::sleep};
+use {
+    faulty::{callers::Callers, check, faults::Plan, process::Fleet},
+    std::time::Duration,
+    tokio::time::sleep,
+};
 
 /// Seeds that failed once, with what was found.
 const REGRESSIONS: [u64; 0] = [];
--- a/fakes/examples/slopes.rs
+++ b/fakes/examples/slopes.rs
@@ -110,7 +110,6 @@
             region: "nl".parse().expect("the name is good"),
             zone: "a".parse().expect("the name is good"),
             instances: 6,
-            small: Tokens(0),
             salt: 1,
         };
         let micros = time(2_000, || {
--- a/fakes/src/model/world.rs
+++ b/fakes/src/model/world.rs
@@ -324,7 +324,6 @@
             region: "nl".parse().expect("the name is good"),
             zone: "a".parse().expect("the name is good"),
             instances: INSTANCES as u32,
-            small: Tokens(0),
             salt: self.rng.gen(),
         };
         let instance = &mut self.instances[at];
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -3,6 +3,7 @@
 mod alone;
 mod attempt;
 mod blame;
+mod choose;
 mod export;
 mod hold;
 mod piece;
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -6,15 +6,11 @@
     },
     crate::{app::App, ports::CacheSource},
     lentil_core::{
-        admit::{admit, join_queue, Ask},
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
-        fleet::{Blocks, EngineView, Progress},
+        fleet::EngineView,
         ids::{EngineId, Tokens},
-        manifest::EngineSpec,
-        plan,
         poison::Standing,
-        route::{choose, shared_key, Pick, Place, Work},
     },
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -41,9 +37,6 @@
 
 /// Tokens below which a prefill tells nothing of an engine's rate.
 pub(super) const TELLING: Tokens = Tokens(1_000);
-/// Tokens below which a prompt that is passed on is prefilled where it is decoded: two calls and
-/// a transfer take longer than the prefill.
-const SMALL: Tokens = Tokens(1);
 /// Time left below which a further target is of no use.
 const LEAST: Duration = Duration::from_millis(30);
 
@@ -178,85 +171,6 @@
         }
     }
 
-    /// Notes the demand, for the first cell of this region that serves the model.
-    fn arrived(&self, hit: Tokens) {
-        let (app, work, now) = (&self.app, &self.request.work, self.app.now());
-        let Ok(index) = app.index() else { return };
-        let here = |e: &&EngineSpec| e.model == work.model && e.region == app.settings.region;
-        let any = |e: &&EngineSpec| e.model == work.model;
-        let engines = &index.manifest.engines;
-        let found = engines.values().find(here).or_else(|| engines.values().find(any));
-        let Some(engine) = found else { return };
-        let first = work.class.first.span();
-        let one = plan::Request { prompt: work.prompt - hit, output: work.output, first };
-        let demand = one.demand(engine.rates.prefill.0);
-        app.gate().arrived(&engine.cell, &work.model, demand, now);
-    }
-
-    /// Chooses engines under the tables' locks and notes what is sent to them.
-    pub(super) fn choose(&mut self, tries: u32) -> Result<Chosen, Fault> {
-        let app = self.app.clone();
-        let now = app.now();
-        match app.quarantine().standing(self.request.print, now) {
-            Standing::Clear => {}
-            Standing::Isolate => return self.choose_alone(now),
-            Standing::Quarantined => {
-                let text = "the request has crashed two targets";
-                return Err(Fault::new(ErrorKind::Quarantined, text));
-            }
-        }
-        let place = self.place();
-        let mut work = self.request.work.clone();
-        work.prompt += Tokens(self.done.len() as u64);
-        let mut fleet = app.fleet();
-        fleet.refresh(now);
-        let mut cache = app.cache();
-        let picked = choose(&fleet.engines, &cache, &work, &place, now);
-        if tries == 0 && self.request.routed.is_none() {
-            self.arrived(picked.as_ref().map_or(Tokens(0), |p| p.hit));
-        }
-        let pick = picked?;
-        if tries == 0 {
-            self.admit(&pick, now)?;
-        }
-        let todo = work.prompt - pick.hit;
-        let fetch = pick.fetch.map(|i| fleet.engines[i].address);
-        if let Some(key) = shared_key(&work).filter(|_| self.request.routed.is_some()) {
-            let reader = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
-            cache.place(key, &reader.id, Progress::Reading, now);
-        }
-        let prefill = pick.prefill.map(|i| {
-            let engine = &mut fleet.engines[i];
-            engine.breaker.sent();
-            engine.load.sent(todo, false, now);
-            cache.sent(&engine.id, &work.blocks);
-            Target::of(engine)
-        });
-        let engine = &mut fleet.engines[pick.decode];
-        engine.breaker.sent();
-        let direct = if prefill.is_none() { todo } else { Tokens(0) };
-        engine.load.sent(direct, true, now);
-        if prefill.is_none() {
-            cache.sent(&engine.id, &work.blocks);
-        }
-        let decode = Target::of(engine);
-        if let Some(routed) = &self.request.routed {
-            let split = prefill.as_ref().map_or("-", |t| t.id.as_str());
-            log::info!(
-                "run: id={} chosen try={tries} routes={} targets_age_ms={} decode={} prefill={split} todo={todo} hit={} fetch={} first_ms={} wait_ms={}",
-                routed.call.id,
-                routed.version,
-                (now - fleet.looked).as_millis(),
-                decode.id,
-                pick.hit,
-                fetch.is_some(),
-                pick.first.as_millis(),
-                pick.wait.as_millis(),
-            );
-        }
-        Ok(Chosen { decode, prefill, todo, fetch })
-    }
-
     /// Counts the request in the allowance of resends.
     fn count(&self) {
         let now = self.app.now();
@@ -285,17 +199,6 @@
         }
     }
 
-    fn place(&self) -> Place {
-        let app = &self.app;
-        Place {
-            region: app.settings.region.clone(),
-            zone: app.settings.zone.clone(),
-            instances: app.view().live().count() as u32 + 1,
-            small: if self.request.routed.is_some() { SMALL } else { Tokens(0) },
-            salt: rand::random(),
-        }
-    }
-
     /// Whether a request that may have run can be run by another target.
     pub(super) fn may_run_again(&self) -> bool {
         let Some(routed) = &self.request.routed else { return true };
@@ -320,41 +223,6 @@
         self.app.gate().resend(&self.request.work.model, instances, now)
     }
 
-    /// The best engine for decoding a prompt that was prefilled elsewhere, by what is known now.
-    pub(super) fn choose_decode(&self, chosen: &Target) -> Target {
-        if self.request.routed.is_none() {
-            return chosen.clone();
-        }
-        let now = self.app.now();
-        let place = self.place();
-        let work = Work { prompt: Tokens(0), blocks: Blocks::new(), ..self.request.work.clone() };
-        let fleet = self.app.fleet();
-        let cache = self.app.cache();
-        match choose(&fleet.engines, &cache, &work, &place, now) {
-            Ok(pick) => Target::of(&fleet.engines[pick.decode]),
-            Err(_) => chosen.clone(),
-        }
-    }
-
-    /// Admission, with the use that it leads to.
-    fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
-        let request = &self.request;
-        if let Some(routed) = &request.routed {
-            return join_queue(&request.work.class, pick, routed.deadline - now);
-        }
-        let mut gate = self.app.gate();
-        let ask = Ask {
-            workspace: &request.workspace,
-            share: request.share,
-            class: &request.work.class,
-            waited: now - request.arrived,
-        };
-        admit(&ask, pick, &gate.shares, now)?;
-        let cost = pick.end.as_secs_f64();
-        gate.shares.used(&request.workspace, request.share, cost, now);
-        Ok(())
-    }
-
     fn finish(self) {
         if self.request.routed.is_some() {
             return self.finish_routed();
