--- a/node/src/follow/routes.rs
+++ b/node/src/follow/routes.rs
@@ -6,7 +6,7 @@
 };
 
 /// Longest wait of one look; a connection that has gone silent is noticed after it.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(10);
 /// Pause while there are no routes yet.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after looks that failed.
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -19,7 +19,7 @@
 
 /// Part of the time within which leaving targets must be known that passes between two looks:
 /// targets renew their entries often, and each look is a call that is counted.
-const PACE: f64 = 0.45;
+const PACE: f64 = 0.6;
 /// Longest wait of one look.
 const WAIT: Duration = Duration::from_millis(2_500);
 /// First and longest pause after looks that failed: calls are counted in an outage as well, and
