--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -24,9 +24,9 @@
 const WAIT: Duration = Duration::from_millis(2_500);
 /// First and longest pause after looks that failed: calls are counted in an outage as well, and
 /// what is missed must be known within the bound after it.
-const PAUSES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_000)];
+const PAUSES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(500)];
 /// Time after an outage within which targets whose entries lapsed enter themselves again.
-const RETURN: Duration = Duration::from_millis(2_200);
+const RETURN: Duration = Duration::from_millis(2_100);
 /// Time between two readings of all targets, in case a change was never told.
 const REREAD: Duration = Duration::from_secs(30);
 
@@ -39,7 +39,7 @@
         match follower.look(&app, directory.as_ref()).await {
             Ok(()) => {
                 backoff.succeeded();
-                sleep(drain.mul_f64(PACE)).await;
+                sleep(follower.at_most(drain.mul_f64(PACE), app.now())).await;
             }
             Err(error) => {
                 follower.failed(&app, &error);
@@ -65,7 +65,7 @@
         let now = app.now();
         let stale = self.read.is_none_or(|t| now - t > REREAD);
         let found = match self.at.filter(|_| !stale) {
-            Some(at) => directory.target_changes(at, WAIT).await?,
+            Some(at) => directory.target_changes(at, self.at_most(WAIT, now)).await?,
             None => {
                 let all = directory.targets().await?;
                 self.read = Some(now);
@@ -83,6 +83,14 @@
         Ok(())
     }
 
+    /// A time that does not reach beyond the moment at which missing targets are to be dropped.
+    fn at_most(&self, time: Duration, now: Time) -> Duration {
+        match self.outage.filter(|_| !self.missing.is_empty()) {
+            Some(outage) => time.min((outage + RETURN) - now),
+            None => time,
+        }
+    }
+
     fn failed(&mut self, app: &App, error: &DirectoryError) {
         self.at = None;
         if *error == DirectoryError::Gone {
