--- a/daemon/tests/faulty/process.rs
+++ b/daemon/tests/faulty/process.rs
@@ -1,6 +1,7 @@
 use {
     super::proxy::{Mode, Proxy},
     crate::platform::{config, Message, Runner, Store},
+    lentil_fakes::site::free_address,
     nix::{
         sys::signal::{kill, Signal},
         unistd::Pid,
@@ -8,7 +9,7 @@
     serde_json::json,
     std::{
         fs::{self, File},
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::PathBuf,
         process::{Child, Command},
         time::{Duration, Instant},
@@ -37,10 +38,6 @@
     born: u64,
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 impl Instance {
     fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
@@ -118,7 +115,7 @@
     }
 
     async fn instance(&self, i: usize) -> Instance {
-        let [front, ready, metrics, mesh] = [free(), free(), free(), free()];
+        let [front, ready, metrics, mesh] = std::array::from_fn(|_| free_address());
         let store = Proxy::start(self.store.address).await;
         let settings = json!({
             "instance": format!("e-{i}"), "region": "r", "zone": "z", "listen": front,
--- a/fakes/src/site/process.rs
+++ b/fakes/src/site/process.rs
@@ -8,10 +8,13 @@
     },
     std::{
         fs,
-        net::{SocketAddr, TcpListener},
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::PathBuf,
         process::{Child, Command},
-        sync::{Mutex, MutexGuard, PoisonError},
+        sync::{
+            atomic::{AtomicU32, Ordering},
+            Mutex, MutexGuard, PoisonError,
+        },
         time::{Duration, Instant},
     },
     tokio::time::sleep,
@@ -25,9 +28,29 @@
     file: PathBuf,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    listener.local_addr().expect("a bound socket has an address")
+/// Ports that are handed out: below those that the kernel gives to outgoing connections, which
+/// could take a port between its choice and its use.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+/// Ports between the first ones of two processes with neighbouring ids.
+const APART: u32 = 97;
+
+/// An address on loopback that nothing listens on; each call gives another one.
+///
+/// # Panics
+/// If all ports are taken.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = PORTS.end - PORTS.start;
+    for _ in PORTS {
+        let number = std::process::id() * APART + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = (PORTS.start + number % count) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
+        if free {
+            return address;
+        }
+    }
+    panic!("no port on loopback is free");
 }
 
 impl Site {
@@ -82,6 +105,8 @@
     pub async fn ready(&self) {
         let end = Instant::now() + Duration::from_secs(60);
         while !self.is_ready().await {
+            let ended = self.child().try_wait().ok().flatten();
+            assert!(ended.is_none(), "an instance ended before it was ready: {ended:?}");
             assert!(Instant::now() < end, "an instance is not ready within a minute");
             sleep(Duration::from_millis(50)).await;
         }
--- a/node/src/daemon/args.rs
+++ b/node/src/daemon/args.rs
@@ -80,14 +80,16 @@
         true => start_log(&settings).and_then(|()| hosted(settings)),
         false => serve_settings(settings),
     };
-    log::logger().flush();
-    match served {
+    let code = match served {
         Ok(()) => 0,
         Err(error) => {
             log::error!("daemon: {error:#}");
             1
         }
-    }
+    };
+    // Lines that wait would be lost with the process.
+    log::logger().flush();
+    code
 }
 
 fn serve_settings(settings: Settings) -> Result<()> {
