--- a/node/src/commands/pass_on.rs
+++ b/node/src/commands/pass_on.rs
@@ -9,13 +9,15 @@
         error::{ErrorKind, Fault},
         fleet::{Blocks, Lengths},
         ids::{Fingerprint, ModelId, Tokens},
-        manifest::ClassSpec,
         route::Work,
         routes::{Route, RouteTable},
     },
     std::{sync::Arc, time::Duration},
 };
 
+/// Caller and workspace of requests that are passed on: the platform tells of neither.
+const PASSED: &str = "passed-on";
+
 /// What a caller says of a request that is passed on.
 #[derive(Debug, Clone, Default)]
 pub struct CallFacts {
@@ -69,7 +71,6 @@
     let Some(service) = route.service(rand::random()) else {
         return Err(Fault::new(ErrorKind::NoTarget, "the route has no service"));
     };
-    let spec = table.services.get(service);
     let model: ModelId =
         service.as_str().parse().map_err(|_| Fault::new(ErrorKind::NoTarget, "bad service"))?;
     let timeout = route.timeout.span();
@@ -90,7 +91,7 @@
             blocks: facts.parts,
             lengths: facts.lengths,
             avoid: Default::default(),
-            class: ClassSpec { ..route.class.clone() },
+            class: route.class.clone(),
         },
         prompt: String::new(),
         routed: Some(Routed {
@@ -99,11 +100,7 @@
             route,
             deadline: arrived + patience,
             after: facts.after,
-            connections: spec.map_or(0, |s| s.connections),
         }),
     };
     Ok(run::start(app, request))
 }
-
-/// Caller and workspace of requests that are passed on: the platform tells of neither.
-const PASSED: &str = "passed-on";
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -38,8 +38,6 @@
     pub target: EngineId,
     /// Time within which the answer is of use.
     pub left: Duration,
-    /// Connections that may be open to the target.
-    pub connections: usize,
     /// The last event that the caller has, if it goes on from there.
     pub after: Option<u64>,
     /// Whether the answer is a stream of events.
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -103,16 +103,10 @@
 
     fn passing(&self, target: &Target) -> Option<Passing> {
         let routed = self.task.request.routed.as_ref()?;
-        let instances = self.task.app.view().live().count() + 1;
-        let connections = match routed.connections {
-            0 => usize::MAX,
-            limit => (limit as usize / instances).max(1),
-        };
         Some(Passing {
             call: routed.call.clone(),
             target: target.id.clone(),
             left: routed.deadline - self.task.app.now(),
-            connections,
             after: self.task.last.or(routed.after),
             streams: routed.route.streams,
             fetch: self.chosen.fetch,
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -48,6 +48,4 @@
     pub deadline: Time,
     /// The last event that the caller has, if it goes on from there.
     pub after: Option<u64>,
-    /// Connections that one target accepts from all callers together; zero: not limited.
-    pub connections: u32,
 }
