--- a/core/src/fleet/cache.rs
+++ b/core/src/fleet/cache.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Blocks, Lengths, PartNote, Placed, Progress, BLOCK_TOKENS},
+    super::{Blocks, PartNote, Placed, Progress},
     crate::{
         clock::Time,
         ids::{EngineId, PrefixHash},
@@ -126,25 +126,19 @@
 
     /// Number of leading blocks that an engine is expected to hold; what is in doubt counts half.
     pub fn hit(&self, engine: &EngineId, blocks: &Blocks) -> f64 {
-        self.held(engine, blocks).sum()
-    }
-
-    /// Tokens of the leading blocks that an engine is expected to hold.
-    pub fn hit_tokens(&self, engine: &EngineId, blocks: &Blocks, lengths: &Lengths) -> f64 {
-        if lengths.is_empty() {
-            return self.hit(engine, blocks) * BLOCK_TOKENS.0 as f64;
+        let Some(slot) = self.slots.get(engine).copied() else {
+            return 0.0;
+        };
+        let epoch = self.feeds[slot as usize].epoch;
+        let mut held = 0.0;
+        for block in blocks {
+            let copies = self.young.get(block).or_else(|| self.old.get(block));
+            let Some(copy) = copies.and_then(|c| c.iter().find(|c| c.slot == slot)) else {
+                break;
+            };
+            held += if copy.epoch == epoch { 1.0 } else { 0.5 };
         }
-        self.held(engine, blocks).zip(lengths).map(|(part, tokens)| part * f64::from(*tokens)).sum()
-    }
-
-    fn held<'a>(&'a self, engine: &EngineId, blocks: &'a Blocks) -> impl Iterator<Item = f64> + 'a {
-        let slot = self.slots.get(engine).copied();
-        let epoch = slot.map(|s| self.feeds[s as usize].epoch);
-        blocks.iter().map_while(move |block| {
-            let copies = self.young.get(block).or_else(|| self.old.get(block))?;
-            let copy = copies.iter().find(|c| Some(c.slot) == slot)?;
-            Some(if Some(copy.epoch) == epoch { 1.0 } else { 0.5 })
-        })
+        held
     }
 
     /// Notes where a shared part is, also for the other instances.
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -2,7 +2,7 @@
     super::{Copies, Place, Work},
     crate::{
         clock::Time,
-        fleet::{CacheIndex, EngineView, Load},
+        fleet::{CacheIndex, EngineView, Load, BLOCK_TOKENS},
         ids::Tokens,
         manifest::Role,
     },
@@ -69,7 +69,7 @@
     let (hit, fetch) = match engine.load.shared {
         Some(_) => copies.at(index),
         None => {
-            let hit = cache.hit_tokens(&engine.id, &work.blocks, &work.lengths);
+            let hit = cache.hit(&engine.id, &work.blocks) * BLOCK_TOKENS.0 as f64;
             (Tokens((hit as u64).min(work.prompt.0)), None)
         }
     };
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        http::{call, json_request, read_all, request, Answered, Body, CallError, Connection},
+        http::{call, json_request, read_all, request, Answered, Body, Connection},
         ports::{Answer, Authority, Chunks, Command, Engine, EngineError, Job, LoadReport, Part},
     },
     bytes::BytesMut,
@@ -51,8 +51,8 @@
     }
 
     async fn open(&self, at: SocketAddr, request: Request<Body>) -> Result<Incoming, EngineError> {
-        let connection = Connection::open(at, CONNECT).await.map_err(failed)?;
-        let response = connection.send(request, SILENCE).await.map_err(failed)?;
+        let connection = Connection::open(at, CONNECT).await.map_err(EngineError::from)?;
+        let response = connection.send(request, SILENCE).await.map_err(EngineError::from)?;
         let status = response.status().as_u16();
         if status == 200 {
             return Ok(response.into_body());
@@ -64,19 +64,11 @@
 
     async fn ask<T: DeserializeOwned>(&self, at: SocketAddr, path: &str) -> Result<T, EngineError> {
         let request = request(Method::GET, at, path, "");
-        let answer = call(at, request, self.limit).await.map_err(failed)?;
+        let answer = call(at, request, self.limit).await.map_err(EngineError::from)?;
         read(&answer)
     }
 }
 
-fn failed(error: CallError) -> EngineError {
-    match error {
-        CallError::NotSent(..) => EngineError::NotSent(error.to_string()),
-        CallError::Lost(..) => EngineError::Lost(error.to_string()),
-        CallError::Timeout(_) => EngineError::Timeout,
-    }
-}
-
 /// An engine that answers 4xx or 503 says that it did nothing.
 fn refused(status: u16, text: &str) -> EngineError {
     match status {
@@ -179,7 +171,7 @@
     ) -> BoxFuture<'a, Result<(), EngineError>> {
         async move {
             let request = request(Method::DELETE, at, &format!("/v1/runs/{run}"), "");
-            call(at, request, self.limit).await.map(|_| ()).map_err(failed)
+            call(at, request, self.limit).await.map(|_| ()).map_err(EngineError::from)
         }
         .boxed()
     }
@@ -200,11 +192,11 @@
     ) -> BoxFuture<'a, Result<EngineReport, EngineError>> {
         async move {
             let request = json_request(Method::POST, at, "/v1/orders", &command);
-            let connection = Connection::open(at, CONNECT).await.map_err(failed)?;
+            let connection = Connection::open(at, CONNECT).await.map_err(EngineError::from)?;
             if !authority() {
                 return Err(EngineError::NoAuthority);
             }
-            let response = connection.send(request, self.order).await.map_err(failed)?;
+            let response = connection.send(request, self.order).await.map_err(EngineError::from)?;
             let status = response.status().as_u16();
             let body = timeout(self.order, read_all(response.into_body(), MAX_LINE))
                 .await
--- a/node/src/http/pool.rs
+++ b/node/src/http/pool.rs
@@ -10,10 +10,7 @@
     std::{
         collections::HashMap,
         net::SocketAddr,
-        sync::{
-            atomic::{AtomicUsize, Ordering},
-            Arc, Mutex, MutexGuard, PoisonError,
-        },
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
     tokio::{net::TcpStream, task::JoinHandle, time::timeout},
@@ -35,7 +32,6 @@
 #[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<String, Vec<Idle>>>,
-    opened: AtomicUsize,
 }
 
 struct Idle {
@@ -71,11 +67,6 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Number of connections opened so far.
-    pub fn opened(&self) -> usize {
-        self.opened.load(Ordering::Relaxed)
-    }
-
     /// An idle connection, or a new one made within `limit`.
     ///
     /// # Errors
@@ -120,7 +111,6 @@
 
     async fn open(&self, address: SocketAddr, limit: Duration) -> Result<Kept, CallError> {
         let failed = |text: String| CallError::NotSent(address, text);
-        self.opened.fetch_add(1, Ordering::Relaxed);
         let stream = timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|_| failed("timed out".into()))?
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -1,4 +1,5 @@
 use {
+    crate::http::CallError,
     bytes::Bytes,
     futures_util::{future::BoxFuture, stream::BoxStream},
     hyper::{HeaderMap, Method},
@@ -176,6 +177,16 @@
     }
 }
 
+impl From<CallError> for EngineError {
+    fn from(error: CallError) -> Self {
+        match error {
+            CallError::NotSent(..) => Self::NotSent(error.to_string()),
+            CallError::Lost(..) => Self::Lost(error.to_string()),
+            CallError::Timeout(_) => Self::Timeout,
+        }
+    }
+}
+
 /// Pieces of an answer.
 pub type Chunks = BoxStream<'static, Result<Chunk, EngineError>>;
 
--- a/node/src/run/hold.rs
+++ b/node/src/run/hold.rs
@@ -1,6 +1,9 @@
 use {
     crate::app::App,
-    lentil_core::ids::{EngineId, Tokens},
+    lentil_core::{
+        fleet::Shared,
+        ids::{EngineId, Tokens},
+    },
     std::sync::Arc,
 };
 
@@ -12,12 +15,17 @@
     prefilled: bool,
 }
 
+/// Changes what is counted on a target, if it is still there and counted.
+fn shared(app: &App, id: &EngineId, change: impl FnOnce(&mut Shared)) {
+    if let Some(shared) = app.fleet().engine(id).and_then(|e| e.load.shared.as_mut()) {
+        change(shared);
+    }
+}
+
 impl Hold {
     /// Counts a request with `tokens` to prefill.
     pub(super) fn new(app: &Arc<App>, id: &EngineId, tokens: Tokens) -> Self {
-        if let Some(shared) = app.fleet().engine(id).and_then(|e| e.load.shared.as_mut()) {
-            shared.began(tokens);
-        }
+        shared(app, id, |shared| shared.began(tokens));
         Self { app: app.clone(), id: id.clone(), tokens, prefilled: false }
     }
 
@@ -27,20 +35,16 @@
             return false;
         }
         let tokens = std::mem::take(&mut self.tokens);
-        if let Some(shared) = self.app.fleet().engine(&self.id).and_then(|e| e.load.shared.as_mut())
-        {
+        shared(&self.app, &self.id, |shared| {
             shared.ended(tokens);
             shared.began(Tokens(0));
-        }
+        });
         true
     }
 }
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        if let Some(shared) = self.app.fleet().engine(&self.id).and_then(|e| e.load.shared.as_mut())
-        {
-            shared.ended(self.tokens);
-        }
+        shared(&self.app, &self.id, |shared| shared.ended(self.tokens));
     }
 }
