Late requests step back behind those in time; roles follow the use of the engines

Cause: in gusts of long prompts the prefilling engines are the bottleneck (prefill takes 277 of 314 ms to the first event at the median; a third of the engines prefill), and prompts too large to be in time were read first come first served before small ones.

Ranks: a request that can't be answered in time steps back by five ranks and joins short queues only; queues are estimated by rank.

Roles: one instance holds each service's engines of a region by a lease, and orders single changes by the use of both roles.

--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -6,11 +6,13 @@
 mod load;
 mod placed;
 mod prefix;
+mod queued;
 mod registration;
 mod share;
 
 pub use {
-    cache::*, engine::*, learned::*, load::*, placed::*, prefix::*, registration::*, share::*,
+    cache::*, engine::*, learned::*, load::*, placed::*, prefix::*, queued::*, registration::*,
+    share::*,
 };
 
 #[cfg(test)]
--- a/core/src/fleet/share.rs
+++ b/core/src/fleet/share.rs
@@ -1,7 +1,8 @@
 use {
+    super::Queued,
     crate::{
         clock::Time,
-        ids::{InstanceId, Tokens},
+        ids::{InstanceId, Rank, Tokens},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
@@ -15,7 +16,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
     /// Prompt tokens to be prefilled.
-    pub tokens: u32,
+    pub tokens: Queued,
     /// Requests.
     pub runs: u32,
 }
@@ -30,14 +31,14 @@
 
 impl Shared {
     /// Notes that a request was sent.
-    pub fn began(&mut self, prompt: Tokens) {
-        self.own.tokens = self.own.tokens.saturating_add(prompt.0 as u32);
+    pub fn began(&mut self, prompt: Tokens, rank: Rank) {
+        self.own.tokens.add(rank, prompt);
         self.own.runs += 1;
     }
 
     /// Notes that a request sent with `prompt` tokens has ended.
-    pub fn ended(&mut self, prompt: Tokens) {
-        self.own.tokens = self.own.tokens.saturating_sub(prompt.0 as u32);
+    pub fn ended(&mut self, prompt: Tokens, rank: Rank) {
+        self.own.tokens.remove(rank, prompt);
         self.own.runs = self.own.runs.saturating_sub(1);
     }
 
@@ -53,16 +54,19 @@
     /// Work of all instances as far as it is known.
     ///
     /// ```
-    /// # use lentil_core::{clock::Time, fleet::{Held, Shared}, ids::Tokens};
+    /// # use lentil_core::{clock::Time, fleet::{Held, Shared}, ids::{Rank, Tokens}};
     /// let mut shared = Shared::default();
-    /// shared.began(Tokens(100));
-    /// shared.heard(&"b".parse().unwrap(), Held { tokens: 50, runs: 2 }, Time::ZERO);
-    /// assert_eq!(shared.total(Time::ZERO), Held { tokens: 150, runs: 3 });
+    /// shared.began(Tokens(100), Rank::new(0));
+    /// let mut held = Held { runs: 2, ..Held::default() };
+    /// held.tokens.add(Rank::new(1), Tokens(50));
+    /// shared.heard(&"b".parse().unwrap(), held, Time::ZERO);
+    /// let total = shared.total(Time::ZERO);
+    /// assert_eq!((total.tokens.total(), total.runs), (Tokens(150), 3));
     /// ```
     pub fn total(&self, now: Time) -> Held {
         let fresh = self.others.values().filter(|(_, at)| now - *at < STALE);
         fresh.fold(self.own, |sum, (held, _)| Held {
-            tokens: sum.tokens.saturating_add(held.tokens),
+            tokens: sum.tokens.plus(&held.tokens),
             runs: sum.runs.saturating_add(held.runs),
         })
     }
--- a/core/src/fleet/tests.rs
+++ b/core/src/fleet/tests.rs
@@ -2,7 +2,7 @@
     super::*,
     crate::{
         clock::Time,
-        ids::{EngineId, PrefixHash, Tokens},
+        ids::{EngineId, PrefixHash, Rank, Tokens},
     },
 };
 
@@ -78,13 +78,19 @@
 fn total_forgets_instances_that_fell_silent() {
     let at = Time::from_millis;
     let mut shared = Shared::default();
-    shared.began(Tokens(10));
-    shared.heard(&"a".parse().unwrap(), Held { tokens: 100, runs: 1 }, at(0));
-    shared.heard(&"b".parse().unwrap(), Held { tokens: 1_000, runs: 2 }, at(1_500));
-    assert_eq!(shared.total(at(1_600)), Held { tokens: 1_110, runs: 4 });
-    assert_eq!(shared.total(at(2_500)), Held { tokens: 1_010, runs: 3 });
-    shared.ended(Tokens(10));
-    shared.ended(Tokens(10));
+    let rank = Rank::FIRST;
+    let held = |tokens, runs| {
+        let mut held = Held { runs, ..Held::default() };
+        held.tokens.add(rank, Tokens(tokens));
+        held
+    };
+    shared.began(Tokens(10), rank);
+    shared.heard(&"a".parse().unwrap(), held(100, 1), at(0));
+    shared.heard(&"b".parse().unwrap(), held(1_000, 2), at(1_500));
+    assert_eq!(shared.total(at(1_600)), held(1_110, 4));
+    assert_eq!(shared.total(at(2_500)), held(1_010, 3));
+    shared.ended(Tokens(10), rank);
+    shared.ended(Tokens(10), rank);
     assert_eq!(shared.own, Held::default(), "never below nothing");
 }
 
--- a/core/src/ids/mod.rs
+++ b/core/src/ids/mod.rs
@@ -2,8 +2,9 @@
 
 mod amount;
 mod name;
+mod rank;
 
-pub use {amount::*, name::*};
+pub use {amount::*, name::*, rank::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/manifest/people.rs
+++ b/core/src/manifest/people.rs
@@ -1,6 +1,6 @@
 use {
     super::KeyHash,
-    crate::ids::{AdapterId, Alias, GroupId, Millis, ModelId, ServiceId, WorkspaceId},
+    crate::ids::{AdapterId, Alias, GroupId, Millis, ModelId, Rank, ServiceId, WorkspaceId},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -22,6 +22,13 @@
     pub priority: u8,
 }
 
+impl ClassSpec {
+    /// The rank of its requests.
+    pub fn rank(&self) -> Rank {
+        Rank::new(Rank::FIRST.priority().saturating_sub(self.priority))
+    }
+}
+
 /// A group of callers that share aliases.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -3,7 +3,7 @@
     crate::{
         fleet::{Held, PartNote},
         ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
-        manifest::{Edit, ManifestRecord},
+        manifest::{Edit, ManifestRecord, Role},
         order::Holder,
         plan::Demand,
         poison::Crash,
@@ -121,6 +121,8 @@
         number: u64,
         /// Whether it is paused, or in service again.
         on: bool,
+        /// Its role since the order was carried out.
+        role: Option<Role>,
     },
     /// Who holds a cell.
     Holds {
--- a/core/src/order/entry.rs
+++ b/core/src/order/entry.rs
@@ -77,6 +77,9 @@
     pub by: Holder,
     /// The engine's incarnation when it was written, or as noted since.
     pub boot: Incarnation,
+    /// Orders that the engine had accepted before, if it counts them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub before: Option<u64>,
     /// How far it has come.
     pub stage: Stage,
 }
@@ -92,6 +95,9 @@
     pub changing: bool,
     /// The greatest fencing number it has seen; engines that check none report zero.
     pub fence: Fence,
+    /// Orders that it has accepted since its start, if it counts them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted: Option<u64>,
     /// Version of the model that it serves.
     pub version: VersionId,
     /// Adapters that it holds.
--- a/core/src/order/ledger.rs
+++ b/core/src/order/ledger.rs
@@ -54,6 +54,7 @@
         engine: &EngineId,
         order: Order,
         boot: Incarnation,
+        before: Option<u64>,
     ) -> Result<Fence, OrderError> {
         if self.holder != *by {
             return Err(OrderError::NotHolder(self.holder.clone()));
@@ -64,11 +65,16 @@
         }
         self.number = self.number.next();
         let number = self.number;
-        let entry = Entry { number, order, by: by.clone(), boot, stage: Stage::Open };
+        let entry = Entry { number, order, by: by.clone(), boot, before, stage: Stage::Open };
         self.entries.insert(engine.clone(), entry);
         Ok(number)
     }
 
+    /// Forgets the settled orders of engines that are gone.
+    pub fn forget(&mut self, gone: impl Fn(&EngineId) -> bool) {
+        self.entries.retain(|id, e| e.stage != Stage::Settled || !gone(id));
+    }
+
     /// A fencing number for telling an engine to hold, while its earlier order stays open.
     pub fn raise(&mut self) -> Fence {
         self.number = self.number.next();
--- a/core/src/order/resolve.rs
+++ b/core/src/order/resolve.rs
@@ -47,7 +47,8 @@
 
 /// Decides about an open order from what its engine reports.
 ///
-/// `fenced` says whether the engine refuses old fencing numbers.
+/// `fenced` says whether the engine refuses old fencing numbers. An engine that counts the orders
+/// that it accepts takes one only in place of the next: another after it makes it void.
 pub fn resolve(
     entry: &Entry,
     fenced: bool,
@@ -55,6 +56,14 @@
     me: &Holder,
     proof: Proof,
 ) -> Resolution {
+    if let Some((before, accepted)) = entry.before.zip(report.accepted) {
+        let void = report.boot != entry.boot || accepted > before;
+        return match report.changing {
+            true => Resolution::Frozen(Frozen::Delivery),
+            false if void => Resolution::Settled,
+            false => Resolution::Raise,
+        };
+    }
     if fenced {
         // The engine refuses the order from now on, or has carried it out.
         return match report.fence >= entry.number && !report.changing {
--- a/core/src/order/tests.rs
+++ b/core/src/order/tests.rs
@@ -17,6 +17,7 @@
         role,
         changing: false,
         fence: Fence(fence),
+        accepted: None,
         version: "1".parse().unwrap(),
         adapters: BTreeMap::new(),
     }
@@ -28,6 +29,7 @@
         order: Order::Role(Role::Prefill),
         by: holder(by),
         boot: Incarnation(1),
+        before: None,
         stage: Stage::Open,
     }
 }
@@ -82,11 +84,12 @@
     let me = holder("a");
     let engine = "e".parse().unwrap();
     let mut ledger = Ledger::take(None, me.clone(), "w".parse().unwrap());
-    let first = ledger.open(&me, &engine, Order::Role(Role::Prefill), Incarnation(1)).unwrap();
-    let second = ledger.open(&me, &engine, Order::Role(Role::Decode), Incarnation(1));
+    let first =
+        ledger.open(&me, &engine, Order::Role(Role::Prefill), Incarnation(1), None).unwrap();
+    let second = ledger.open(&me, &engine, Order::Role(Role::Decode), Incarnation(1), None);
     assert_eq!(second, Err(OrderError::Unsettled { engine: engine.clone(), number: first }));
     ledger.settle(&engine, first);
-    let next = ledger.open(&me, &engine, Order::Role(Role::Decode), Incarnation(1)).unwrap();
+    let next = ledger.open(&me, &engine, Order::Role(Role::Decode), Incarnation(1), None).unwrap();
     assert!(next > first);
 }
 
@@ -94,6 +97,6 @@
 fn open_refuses_a_holder_that_lost_the_ledger() {
     let mut ledger = Ledger::take(None, holder("a"), "w".parse().unwrap());
     ledger = Ledger::take(Some(&ledger), holder("b"), "x".parse().unwrap());
-    let late = ledger.open(&holder("a"), &"e".parse().unwrap(), Order::Hold, Incarnation(1));
+    let late = ledger.open(&holder("a"), &"e".parse().unwrap(), Order::Hold, Incarnation(1), None);
     assert_eq!(late, Err(OrderError::NotHolder(holder("b"))));
 }
--- /dev/null
+++ b/core/src/plan/balance.rs
@@ -0,0 +1,123 @@
+use {
+    super::Split,
+    crate::{clock::Time, manifest::Role},
+    std::time::Duration,
+};
+
+/// Seconds that the mean of the use reaches back: longer than most gusts of one kind of work.
+const SPAN: f64 = 6.0;
+/// Use of the busier role from which a change can pay: below it few requests wait.
+const BUSY: f64 = 0.35;
+/// By how much a change must lower the use of the busier role.
+const GAIN: f64 = 0.06;
+/// Highest use of the decoding engines that a change may lead to: streams slow down beyond it.
+const DECODE_FULL: f64 = 0.55;
+/// Time for which a change must have seemed to pay.
+const STEADY: Duration = Duration::from_secs(2);
+/// Time after a change before one in the other direction: the mean has to settle, and engines
+/// that go back and forth serve nobody.
+const TURN: Duration = Duration::from_secs(20);
+/// Engines that may be away at once, as a part of all.
+const AWAY: f64 = 0.2;
+
+/// How far the engines of each role are used.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Use {
+    /// Part of the time for which a prefilling engine has prompts to read.
+    pub prefill: f64,
+    /// Part of the decoding engines' slots that are taken.
+    pub decode: f64,
+}
+
+impl Use {
+    fn toward(self, other: Self, part: f64) -> Self {
+        let mean = |a: f64, b: f64| a + (b - a) * part.min(1.0);
+        Self { prefill: mean(self.prefill, other.prefill), decode: mean(self.decode, other.decode) }
+    }
+
+    /// The use of the same work with the engines split in another way.
+    fn spread(self, from: Split, to: Split) -> Self {
+        let scale = |part: f64, from: usize, to: usize| part * from as f64 / to.max(1) as f64;
+        Self {
+            prefill: scale(self.prefill, from.prefill, to.prefill),
+            decode: scale(self.decode, from.decode, to.decode),
+        }
+    }
+
+    fn worse(self) -> f64 {
+        self.prefill.max(self.decode)
+    }
+}
+
+/// Keeps the roles of a service's engines in balance with its work, by single changes.
+///
+/// It needs no rates: work that is spread over one engine more uses each of them less. The busier
+/// role gets an engine if that lowers its use by more than a little for a while; a mix that swings
+/// back within seconds moves nothing.
+#[derive(Debug, Clone)]
+pub struct Balance {
+    mean: Use,
+    at: Time,
+    toward: Option<(Role, Time)>,
+    changed: Option<(Role, Time)>,
+}
+
+impl Balance {
+    /// A balance that has seen nothing yet.
+    pub fn new(now: Time) -> Self {
+        Self { mean: Use::default(), at: now, toward: None, changed: None }
+    }
+
+    /// The mean use.
+    pub fn mean(&self) -> Use {
+        self.mean
+    }
+
+    /// The role that one engine should change to now, if any, where `split` counts the engines
+    /// by the role that they have or change to and `away` of them are changing.
+    pub fn decide(&mut self, latest: Use, split: Split, away: usize, now: Time) -> Option<Role> {
+        let passed = (now - self.at).as_secs_f64();
+        self.at = now;
+        self.mean = self.mean.toward(latest, passed / SPAN);
+        let toward = self.better(split).filter(|role| self.may_turn(*role, now));
+        let since = match (toward, self.toward) {
+            (Some(role), Some((old, since))) if role == old => since,
+            _ => now,
+        };
+        self.toward = toward.map(|role| (role, since));
+        let role = toward?;
+        let room = ((split.total() as f64 * AWAY) as usize).max(1);
+        if now - since < STEADY || away >= room {
+            return None;
+        }
+        self.mean = self.mean.spread(split, moved(split, role)?);
+        self.changed = Some((role, now));
+        Some(role)
+    }
+
+    /// The role that is worth another engine.
+    fn better(&self, split: Split) -> Option<Role> {
+        let worse = self.mean.worse();
+        let role = match self.mean.prefill > self.mean.decode {
+            true => Role::Prefill,
+            false => Role::Decode,
+        };
+        let after = self.mean.spread(split, moved(split, role)?);
+        let full = role == Role::Prefill && after.decode > DECODE_FULL;
+        (worse >= BUSY && worse - after.worse() >= GAIN && !full).then_some(role)
+    }
+
+    fn may_turn(&self, role: Role, now: Time) -> bool {
+        self.changed.is_none_or(|(last, at)| last == role || now - at >= TURN)
+    }
+}
+
+/// The split after one engine took a role; `None` if the other role would have none left.
+fn moved(split: Split, role: Role) -> Option<Split> {
+    let Split { prefill, decode } = split;
+    match role {
+        Role::Prefill if decode > 1 => Some(Split { prefill: prefill + 1, decode: decode - 1 }),
+        Role::Decode if prefill > 1 => Some(Split { prefill: prefill - 1, decode: decode + 1 }),
+        _ => None,
+    }
+}
--- a/core/src/plan/mod.rs
+++ b/core/src/plan/mod.rs
@@ -1,10 +1,11 @@
 //! Which engine changes its role, and when.
 
+mod balance;
 mod capacity;
 mod demand;
 mod planner;
 
-pub use {capacity::*, demand::*, planner::*};
+pub use {balance::*, capacity::*, demand::*, planner::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -73,8 +73,9 @@
             (Tokens((hit as u64).min(work.prompt.0)), None)
         }
     };
-    let todo = (load.queued + work.prompt - hit).0 as f64;
-    let queue = engine.load.expected(rate, 1, now).queued.0 as f64 / rate;
+    let ahead = |instances| engine.load.ahead(work.rank, rate, instances, now);
+    let todo = (ahead(place.instances) + work.prompt - hit).0 as f64;
+    let queue = ahead(1).0 as f64 / rate;
     let known = queue + (work.prompt - hit).0 as f64 / rate;
     let way = match () {
         () if engine.region != place.region => OTHER_REGION,
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -6,7 +6,7 @@
         fleet::{
             prefix_blocks, CacheIndex, EngineView, Load, PartNote, Progress, Registration, BLOCK,
         },
-        ids::{Incarnation, Millis, PrefixHash, TokenRate, Tokens},
+        ids::{Incarnation, Millis, PrefixHash, Rank, TokenRate, Tokens},
         manifest::{ClassSpec, EngineRates, EngineSpec, Role},
     },
 };
@@ -45,6 +45,7 @@
             deadline: Millis(20_000),
             priority: 1,
         },
+        rank: Rank::FIRST,
     }
 }
 
@@ -123,8 +124,8 @@
     };
     let mut view = EngineView::registered(&target);
     let shared = view.load.shared.as_mut().unwrap();
-    shared.began(Tokens(tokens));
-    (1..runs).for_each(|_| shared.began(Tokens(0)));
+    shared.began(Tokens(tokens), Rank::FIRST);
+    (1..runs).for_each(|_| shared.began(Tokens(0), Rank::FIRST));
     view
 }
 
--- a/core/src/route/work.rs
+++ b/core/src/route/work.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         fleet::{Blocks, Lengths},
-        ids::{AdapterId, EngineId, ModelId, Region, Tokens, Zone},
+        ids::{AdapterId, EngineId, ModelId, Rank, Region, Tokens, Zone},
         manifest::ClassSpec,
     },
     smallvec::SmallVec,
@@ -27,6 +27,8 @@
     pub avoid: SmallVec<[EngineId; 2]>,
     /// Targets of its class.
     pub class: ClassSpec,
+    /// Its place among those that wait.
+    pub rank: Rank,
 }
 
 /// Where the deciding instance stands, and what salts its choices.
--- a/core/src/routes/route.rs
+++ b/core/src/routes/route.rs
@@ -27,6 +27,8 @@
     pub attempts: u32,
     /// Longest time until the final answer.
     pub timeout: Millis,
+    /// Longest time without a piece, before the first as well, after which callers leave.
+    pub silence: Millis,
     /// Objectives and rank, as a request's class.
     pub class: ClassSpec,
 }
@@ -74,6 +76,7 @@
         resumable: false,
         attempts: 1,
         timeout: Millis(1_000),
+        silence: Millis(1_000),
         class: ClassSpec {
             first: Millis(100),
             between: Millis(1_000),
--- a/core/tests/authority.rs
+++ b/core/tests/authority.rs
@@ -112,6 +112,7 @@
             role: self.role,
             changing: false,
             fence: self.fence,
+            accepted: None,
             version: "1".parse().unwrap(),
             adapters: BTreeMap::new(),
         }
@@ -233,7 +234,8 @@
                 let mut new = ledger.clone();
                 let role = self.role.other();
                 let boot = Incarnation(self.boot);
-                let number = new.open(&holder(p), &engine(), Order::Role(role), boot).unwrap();
+                let number =
+                    new.open(&holder(p), &engine(), Order::Role(role), boot, None).unwrap();
                 if number.0 <= MAX_NUMBER {
                     new.writer = token(p, number, "open");
                     let phase = Phase::Opened(new.clone(), number, role);
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -6,7 +6,7 @@
         admit::join_queue,
         clock::Time,
         fleet::{CacheIndex, EngineView, Registration},
-        ids::{Incarnation, Millis, PrefixHash, Tokens},
+        ids::{Incarnation, Millis, PrefixHash, Rank, Tokens},
         manifest::{ClassSpec, Role},
         route::{choose, Place, Work},
     },
@@ -59,6 +59,7 @@
         lengths: [PROMPT as u32].into_iter().collect(),
         avoid: Default::default(),
         class: ClassSpec { first, between: Millis(300), deadline: Millis(6_000), priority: 1 },
+        rank: Rank::FIRST,
     }
 }
 
@@ -68,7 +69,7 @@
     engines.extend((0..ENGINES).map(|i| engine(i, Role::Decode)));
     for decode in &mut engines[ENGINES..] {
         let streams = decode.load.shared.as_mut().unwrap();
-        (0..STREAMS).for_each(|_| streams.began(Tokens(0)));
+        (0..STREAMS).for_each(|_| streams.began(Tokens(0), Rank::FIRST));
     }
     let cache = CacheIndex::default();
     let mut free = [0.0_f64; ENGINES];
@@ -80,7 +81,7 @@
         let now = Time::from_secs_f64(at);
         while ends.peek().is_some_and(|(end, _)| end.0 <= now.as_micros()) {
             let (_, i) = ends.pop().unwrap();
-            engines[i].load.shared.as_mut().unwrap().ended(Tokens(PROMPT));
+            engines[i].load.shared.as_mut().unwrap().ended(Tokens(PROMPT), Rank::FIRST);
         }
         let place = Place {
             region: "r".parse().unwrap(),
@@ -97,7 +98,7 @@
         }
         // Prompts read beside decoding are not part of this load.
         let Some(i) = pick.prefill else { continue };
-        engines[i].load.shared.as_mut().unwrap().began(Tokens(PROMPT));
+        engines[i].load.shared.as_mut().unwrap().began(Tokens(PROMPT), Rank::FIRST);
         let end = free[i].max(at) + PROMPT as f64 / RATE;
         free[i] = end;
         ends.push((std::cmp::Reverse(Time::from_secs_f64(end).as_micros()), i));
--- a/fakes/examples/slopes.rs
+++ b/fakes/examples/slopes.rs
@@ -8,7 +8,7 @@
         claim::{ClaimKey, Edit},
         clock::Time,
         fleet::{CacheIndex, EngineView},
-        ids::{Fingerprint, Millis, PrefixHash, Revision, Tokens},
+        ids::{Fingerprint, Millis, PrefixHash, Rank, Revision, Tokens},
         manifest::{ChangeWeight, ClassSpec, ManifestRecord},
         plan::{ChangeCost, Demand, Planner, Situation, Split},
         route::{choose, Place, Work},
@@ -103,6 +103,7 @@
                 deadline: Millis(30_000),
                 priority: 1,
             },
+            rank: Rank::FIRST,
         };
         let mut cache = CacheIndex::default();
         engines.iter().for_each(|e| cache.sent(&e.id, &work.blocks));
--- a/fakes/src/engine/orders.rs
+++ b/fakes/src/engine/orders.rs
@@ -33,6 +33,7 @@
             role: Role::Decode,
             changing: false,
             fence: Fence(0),
+            accepted: None,
             version: version.parse().expect("setup has a good version"),
             adapters: BTreeMap::new(),
         };
--- a/fakes/src/model/world.rs
+++ b/fakes/src/model/world.rs
@@ -8,7 +8,7 @@
         clock::Time,
         error::ErrorKind,
         fleet::{CacheIndex, EngineView, Load},
-        ids::{EngineId, Millis, TokenRate, Tokens, WorkspaceId},
+        ids::{EngineId, Millis, Rank, TokenRate, Tokens, WorkspaceId},
         limit::RetryBudget,
         manifest::{ClassSpec, EngineRates, EngineSpec, Role},
         plan::{best, DemandMeter, Request, Split},
@@ -308,6 +308,7 @@
                 deadline: millis(kind.deadline),
                 priority: kind.priority,
             },
+            rank: Rank::FIRST,
         }
     }
 
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -189,7 +189,7 @@
         at: SocketAddr,
         command: Command,
         authority: Authority<'a>,
-    ) -> BoxFuture<'a, Result<EngineReport, EngineError>> {
+    ) -> BoxFuture<'a, Result<(), EngineError>> {
         async move {
             let request = json_request(Method::POST, at, "/v1/orders", &command);
             let connection = Connection::open(at, CONNECT).await.map_err(EngineError::from)?;
@@ -207,7 +207,7 @@
                 let reply: FencedReply = answer.json().map_err(EngineError::Malformed)?;
                 return Err(EngineError::Fenced(reply.fence));
             }
-            read(&answer)
+            read::<EngineReport>(&answer).map(|_| ())
         }
         .boxed()
     }
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -15,6 +15,8 @@
 
 /// Time after which a pause ends by itself, should its holder be gone.
 const PAUSE: Duration = Duration::from_secs(90);
+/// The same for registered engines, which let running work end and change within a few seconds.
+const SHORT_PAUSE: Duration = Duration::from_secs(10);
 
 /// Engines and targets of the manifest with what is known of them.
 #[derive(Debug, Default)]
@@ -179,7 +181,9 @@
     pub fn refresh(&mut self, now: Time) {
         self.pauses.retain(|_, p| now - p.since < PAUSE);
         for engine in &mut self.engines {
-            engine.changing = self.pauses.get(&engine.id).is_some_and(|p| p.on);
+            let longest = if engine.load.shared.is_some() { SHORT_PAUSE } else { PAUSE };
+            let pause = self.pauses.get(&engine.id);
+            engine.changing = pause.is_some_and(|p| p.on && now - p.since < longest);
         }
     }
 
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -64,6 +64,7 @@
             model: resolved.model,
             adapter: resolved.adapter,
             output,
+            rank: class.rank(),
             class,
         },
         prompt: ask.prompt.clone(),
--- a/node/src/commands/pass_on.rs
+++ b/node/src/commands/pass_on.rs
@@ -92,6 +92,7 @@
             lengths: facts.lengths,
             avoid: Default::default(),
             class: route.class.clone(),
+            rank: route.class.rank(),
         },
         prompt: String::new(),
         routed: Some(Routed {
--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -1,5 +1,5 @@
 use {
-    super::{change::Change, demand, hold::Hold, place::Seen, proof::Proofs},
+    super::{change::Change, demand, hold::Hold, place::Seen, proof::Proofs, specs},
     crate::{
         app::{App, CellHolder, Phase},
         ports::StoreError,
@@ -8,10 +8,10 @@
     lentil_core::{
         clock::Time,
         ids::{CellId, EngineId, ModelId},
-        manifest::{EngineSpec, ManifestIndex, Role},
+        manifest::{ManifestIndex, Role},
         mesh::News,
         order::Order,
-        plan::{ChangeCost, Planner, Situation, Split},
+        plan::{Balance, ChangeCost, Planner, Situation, Split},
     },
     std::{
         collections::{BTreeSet, HashMap},
@@ -23,19 +23,18 @@
 
 /// Instances of a region that look whether a cell has a holder.
 const CANDIDATES: usize = 2;
-/// Time between two looks at the manifest for new cells.
+/// Shortest time between two looks at open orders.
+const SETTLE: Duration = Duration::from_millis(500);
+/// Time between two looks for new cells.
 const PERIOD: Duration = Duration::from_millis(500);
 
 /// Runs a controller for each cell of this instance's region.
 pub async fn control(app: Arc<App>) {
     let mut cells: BTreeSet<CellId> = BTreeSet::new();
     while *app.phase.borrow() == Phase::Serving {
-        if let Ok(index) = app.index() {
-            let here = |e: &&EngineSpec| e.region == app.settings.region;
-            for engine in index.manifest.engines.values().filter(here) {
-                if cells.insert(engine.cell.clone()) {
-                    tokio::spawn(Controller::new(engine.cell.clone()).run(app.clone()));
-                }
+        for cell in specs::cells(&app) {
+            if cells.insert(cell.clone()) {
+                tokio::spawn(Controller::new(cell).run(app.clone()));
             }
         }
         sleep(PERIOD).await;
@@ -44,12 +43,17 @@
 
 /// What one instance does for one cell, as holder or candidate.
 pub(super) struct Controller {
-    cell: CellId,
+    pub(super) cell: CellId,
     pub(super) changes: Vec<Change>,
     planners: HashMap<ModelId, Planner>,
+    pub(super) balance: Option<Balance>,
     proofs: Proofs,
     hold: Option<Hold>,
     looked: Option<Time>,
+    /// When the cell was taken, and when open orders were last looked at.
+    taken: Time,
+    settled: Time,
+    pub(super) unsettled: BTreeSet<EngineId>,
     failing: bool,
 }
 
@@ -59,9 +63,13 @@
             cell,
             changes: Vec::new(),
             planners: HashMap::new(),
+            balance: None,
             proofs: Proofs::default(),
             hold: None,
             looked: None,
+            taken: Time::ZERO,
+            settled: Time::ZERO,
+            unsettled: BTreeSet::new(),
             failing: false,
         }
     }
@@ -114,6 +122,7 @@
         log::warn!("control: cell {} is held no more", self.cell);
         self.changes.clear();
         self.planners.clear();
+        self.balance = None;
         app.meter.frozen.set(0);
     }
 
@@ -121,7 +130,9 @@
     async fn seek(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
         let duty = app.view().rank_for(self.cell.as_str(), &app.settings.region);
         let now = app.now();
-        let every = app.settings.control.lease.span() / 3;
+        let lease = app.settings.control.lease.span();
+        // A holder that lives may still have lost the store.
+        let every = if self.held(app) { lease } else { lease / 3 };
         let early = self.looked.is_some_and(|t| now - t < every);
         if duty >= CANDIDATES || early {
             return Ok(());
@@ -134,53 +145,65 @@
         app.holders().heard(&self.cell, found);
         let (cell, holder) = (self.cell.clone(), app.me.clone());
         app.view().tell(News::Holds { cell, holder, address, number });
+        self.taken = app.now();
         self.hold = Some(hold);
         Ok(())
     }
 
+    /// Whether the holder that was heard of lives: then the store is asked less often.
+    fn held(&self, app: &App) -> bool {
+        let Some(found) = app.holders().holder(&self.cell).map(|h| h.holder.clone()) else {
+            return false;
+        };
+        let view = app.view();
+        let lives = view.live().any(|m| m.info.id == found.instance && m.info.start == found.start);
+        app.settings.hosted.is_some() && lives
+    }
+
     async fn work(&mut self, app: &Arc<App>, hold: &mut Hold) -> Result<(), StoreError> {
-        let Ok(index) = app.index() else { return Ok(()) };
-        let unsettled = self.settle(app, &index, hold).await?;
-        app.meter.frozen.set(unsettled.len() as i64);
+        self.settle(app, hold).await?;
+        app.meter.frozen.set(self.unsettled.len() as i64);
         let mut changes = std::mem::take(&mut self.changes);
         for mut change in changes.drain(..) {
             if change.step(app, hold).await? {
                 self.changes.push(change);
             }
         }
-        let seen = self.look(app, &index, &unsettled).await;
+        if app.settings.hosted.is_some() {
+            // An earlier holder's last order may still be under way.
+            if app.now() - self.taken >= app.settings.control.lease.span() {
+                self.balance(app);
+            }
+            return Ok(());
+        }
+        let Ok(index) = app.index() else { return Ok(()) };
+        let seen = self.look(app, &index).await;
         self.place(app, &index, hold, &seen).await?;
         self.plan(app, &index, &seen);
         Ok(())
     }
 
-    /// Looks at all open orders, and names the engines whose orders stay open.
-    async fn settle(
-        &mut self,
-        app: &Arc<App>,
-        index: &ManifestIndex,
-        hold: &mut Hold,
-    ) -> Result<BTreeSet<EngineId>, StoreError> {
+    /// Looks at all open orders from time to time, and notes the engines whose orders stay open.
+    async fn settle(&mut self, app: &Arc<App>, hold: &mut Hold) -> Result<(), StoreError> {
+        if app.now() - self.settled < SETTLE {
+            return Ok(());
+        }
+        self.settled = app.now();
         let open: Vec<_> = hold.ledger.unsettled().map(|(id, e)| (id.clone(), e.clone())).collect();
-        let mut left = BTreeSet::new();
+        self.unsettled.clear();
         for (id, entry) in open {
-            let Some(spec) = index.manifest.engines.get(&id) else { continue };
-            if !hold.settle_open(app, &mut self.proofs, &id, &entry, spec).await? {
-                left.insert(id);
+            let Some(spec) = specs::spec(app, &id) else { continue };
+            if !hold.settle_open(app, &mut self.proofs, &id, &entry, &spec).await? {
+                self.unsettled.insert(id);
             }
         }
-        Ok(left)
+        Ok(())
     }
 
     /// Reads the engines that may be given orders.
-    async fn look(
-        &self,
-        app: &App,
-        index: &ManifestIndex,
-        unsettled: &BTreeSet<EngineId>,
-    ) -> Vec<Seen> {
+    async fn look(&self, app: &App, index: &ManifestIndex) -> Vec<Seen> {
         let free = |id: &EngineId| {
-            !unsettled.contains(id) && !self.changes.iter().any(|c| c.engine == *id)
+            !self.unsettled.contains(id) && !self.changes.iter().any(|c| c.engine == *id)
         };
         let mine = index.manifest.engines.iter();
         let mine = mine.filter(|(id, spec)| spec.cell == self.cell && free(id));
--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -16,6 +16,9 @@
 /// Time after which a change is given up that finds its engine never empty.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Time between two looks at an engine that carries out an order.
+const LOOK: Duration = Duration::from_millis(700);
+
 /// How far a change has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
@@ -33,6 +36,7 @@
     step: Step,
     since: Time,
     told: u64,
+    looked: Time,
 }
 
 impl Change {
@@ -40,8 +44,10 @@
     pub(super) fn begin(app: &App, engine: EngineId, spec: EngineSpec, order: Order) -> Self {
         log::info!("control: engine {engine} is emptied, to {order}");
         let told = app.pause_number();
-        let change = Self { engine, order, spec, step: Step::Emptying, since: app.now(), told };
-        change.tell(app, true);
+        let now = app.now();
+        let change =
+            Self { engine, order, spec, step: Step::Emptying, since: now, told, looked: now };
+        change.tell(app, true, None);
         change
     }
 
@@ -53,14 +59,18 @@
         }
     }
 
-    fn tell(&self, app: &App, on: bool) {
+    /// Tells every instance that the engine is paused, or in service again, perhaps in a new role.
+    fn tell(&self, app: &App, on: bool, role: Option<Role>) {
         let (engine, number) = (self.engine.clone(), self.told);
         let now = app.now();
         let mut fleet = app.fleet();
         fleet.pause(&engine, number, on, now);
+        if let Some((engine, role)) = fleet.engine(&engine).zip(role) {
+            engine.role = role;
+        }
         fleet.refresh(now);
         drop(fleet);
-        app.view().tell(News::Paused { engine, number, on });
+        app.view().tell(News::Paused { engine, number, on, role });
     }
 
     /// Takes the change one step on; false when it has ended.
@@ -71,17 +81,23 @@
     ) -> Result<bool, StoreError> {
         let now = app.now();
         if now - self.since > PATIENCE {
-            log::warn!("control: engine {} was not empty in time", self.engine);
-            self.tell(app, false);
+            log::warn!("control: engine {} did not change in time", self.engine);
+            self.tell(app, false, None);
             return Ok(false);
         }
         let going_on = match self.step {
             Step::Emptying if self.empty(app).await => self.order(app, hold).await?,
             Step::Emptying => true,
-            Step::Ordered => !self.carried_out(app).await,
+            Step::Ordered if now - self.looked < LOOK => true,
+            Step::Ordered => {
+                self.looked = now;
+                !self.carried_out(app).await
+            }
         };
         if !going_on {
-            self.tell(app, false);
+            // Only registered engines' roles are not followed by reports.
+            let done = self.step == Step::Ordered && app.settings.hosted.is_some();
+            self.tell(app, false, self.goal().filter(|_| done));
         }
         Ok(going_on)
     }
@@ -89,6 +105,10 @@
     /// Whether a report taken after all instances had heard of the pause shows no work.
     async fn empty(&self, app: &App) -> bool {
         let asked = app.now();
+        if app.settings.hosted.is_some() {
+            // The platform's engines let running work end before they change.
+            return asked >= self.since + SPREAD;
+        }
         let Ok(report) = app.ports.engines.load(self.spec.address).await else { return false };
         let taken = asked.as_micros().saturating_sub(report.age.0 * 1_000);
         Time::from_micros(taken) >= self.since + SPREAD && report.load.idle()
@@ -97,8 +117,12 @@
     async fn order(&mut self, app: &App, hold: &mut Hold) -> Result<bool, StoreError> {
         let order = self.order.clone();
         let given = hold.give(app, &self.engine, &self.spec, order).await?;
+        if given == Given::Refused {
+            return Ok(false);
+        }
         self.step = Step::Ordered;
-        Ok(given != Given::Refused)
+        self.looked = app.now();
+        Ok(true)
     }
 
     async fn carried_out(&self, app: &App) -> bool {
--- a/node/src/control/mod.rs
+++ b/node/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Holds cells and orders their engines.
 
+mod balance;
 mod cell;
 mod change;
 mod demand;
@@ -9,6 +10,7 @@
 mod place;
 mod proof;
 mod seat;
+mod specs;
 
 pub use {
     cell::control,
--- a/node/src/control/orders.rs
+++ b/node/src/control/orders.rs
@@ -2,7 +2,7 @@
     super::{hold::Hold, proof::Proofs},
     crate::{
         app::App,
-        ports::{Command, EngineError, StoreError},
+        ports::{Command, EngineError, Meant, StoreError},
     },
     lentil_core::{
         ids::{EngineId, Fence},
@@ -39,7 +39,9 @@
             return Ok(Given::Taken);
         }
         let text = order.to_string();
-        let number = match self.ledger.open(&app.me, id, order.clone(), report.boot) {
+        let before = report.accepted;
+        let opened = self.ledger.open(&app.me, id, order.clone(), report.boot, before);
+        let number = match opened {
             Ok(number) => number,
             Err(error) => {
                 log::info!("control: {error}");
@@ -47,7 +49,9 @@
             }
         };
         self.save(app).await?;
-        let (given, end) = match self.send(app, spec, Command { number, order }).await {
+        let meant = Some(Meant { engine: id.clone(), by: app.me.clone(), before });
+        let command = Command { number, order, meant };
+        let (given, end) = match self.send(app, spec, command).await {
             Ok(()) => (Given::Taken, "taken"),
             Err(EngineError::Fenced(seen)) => {
                 self.ledger.pass(seen);
@@ -80,7 +84,7 @@
         let _on_its_way = seat.gate.lock().await;
         let clock = app.clock;
         let authority = || seat.holds(clock.now());
-        app.ports.engines.order(spec.address, command, &authority).await.map(|_| ())
+        app.ports.engines.order(spec.address, command, &authority).await
     }
 
     /// Looks at an open order; true if it was settled.
@@ -115,9 +119,13 @@
             Resolution::Raise => {
                 let number = self.raise(report.fence);
                 self.save(app).await?;
-                let command = Command { number, order: Order::Hold };
+                // The order itself, given once more, takes the place of the one that is open.
+                let order = entry.before.map_or(Order::Hold, |_| entry.order.clone());
+                let before = entry.before;
+                let meant = Some(Meant { engine: id.clone(), by: app.me.clone(), before });
+                let command = Command { number, order, meant };
                 if let Err(error) = self.send(app, spec, command).await {
-                    log::info!("control: engine {id} was not told to hold: {error}");
+                    log::info!("control: engine {id} was not told again: {error}");
                 }
                 Ok(false)
             }
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -2,7 +2,7 @@
     super::Sockets,
     crate::{
         app::{App, Phase},
-        follow,
+        control, follow,
         http::{self, Body, Limits},
         mesh,
         ports::Directory,
@@ -69,6 +69,7 @@
         tokio::spawn(follow::follow_list(app.clone())),
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
         tokio::spawn(follow::follow_routes(app.clone(), directory)),
+        tokio::spawn(control::control(app.clone())),
     ];
     log::info!("daemon: start instance={} listen={}", app.me, app.settings.listen);
     stop.await;
--- a/node/src/mesh/handle.rs
+++ b/node/src/mesh/handle.rs
@@ -77,7 +77,14 @@
             let known = fleet.engine(engine).filter(|e| !e.leaving && e.boot == *boot);
             known.map(|e| e.leaving = true).is_some()
         }
-        News::Paused { engine, number, on } => app.fleet().pause(engine, *number, *on, now),
+        News::Paused { engine, number, on, role } => {
+            let mut fleet = app.fleet();
+            let fresh = fleet.pause(engine, *number, *on, now);
+            if let Some((engine, role)) = fleet.engine(engine).zip(role.filter(|_| fresh)) {
+                engine.role = role;
+            }
+            fresh
+        }
         News::Holds { cell, holder, address, number } => {
             let found = CellHolder { holder: holder.clone(), address: *address, number: *number };
             app.holders().heard(cell, found)
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -5,9 +5,9 @@
     hyper::{HeaderMap, Method},
     lentil_core::{
         fleet::{CacheEvent, Load},
-        ids::{AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, RunId},
+        ids::{AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, Rank, RunId},
         manifest::Role,
-        order::{EngineReport, Order},
+        order::{EngineReport, Holder, Order},
         stream::Chunk,
     },
     serde::{Deserialize, Serialize},
@@ -39,6 +39,8 @@
     pub target: EngineId,
     /// Time within which the answer is of use.
     pub left: Duration,
+    /// Its place among those that wait.
+    pub rank: Rank,
     /// The last event that the caller has, if it goes on from there.
     pub after: Option<u64>,
     /// Whether the answer is a stream of events.
@@ -139,6 +141,20 @@
     pub number: Fence,
     /// What the engine is to do.
     pub order: Order,
+    /// For whom it is, on a platform that asks for it.
+    #[serde(skip)]
+    pub meant: Option<Meant>,
+}
+
+/// For whom a command is and on what condition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Meant {
+    /// The engine; another one at its address does nothing.
+    pub engine: EngineId,
+    /// Who gives the order.
+    pub by: Holder,
+    /// Orders that the engine must have accepted before.
+    pub before: Option<u64>,
 }
 
 /// Why an engine did not do what it was asked.
@@ -228,7 +244,7 @@
         at: SocketAddr,
         command: Command,
         authority: Authority<'a>,
-    ) -> BoxFuture<'a, Result<EngineReport, EngineError>>;
+    ) -> BoxFuture<'a, Result<(), EngineError>>;
 
     /// Reads the cache events from number `from` on, as far as they are published.
     fn cache_events(
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -61,7 +61,7 @@
         let cache = export.as_ref().and_then(Export::source).or_else(|| self.origin.clone());
         let target = self.chosen.decode.clone();
         let direct = if export.is_some() { Tokens(0) } else { self.chosen.todo };
-        let mut hold = Hold::new(&self.task.app, &target.id, direct);
+        let mut hold = Hold::new(&self.task.app, &target.id, direct, self.task.request.work.rank);
         let job = self.job(&target, cache);
         let engines = self.task.app.ports.engines.clone();
         // A run that is given up from here on may have begun.
@@ -107,6 +107,7 @@
             call: routed.call.clone(),
             target: target.id.clone(),
             left: routed.deadline - self.task.app.now(),
+            rank: self.task.request.work.rank,
             after: self.task.last.or(routed.after),
             streams: routed.route.streams,
             fetch: self.chosen.fetch,
@@ -121,7 +122,7 @@
         let app = self.task.app.clone();
         self.task.prefills += 1;
         let idle = app.fleet().engine(&target.id).is_none_or(|e| e.load.idle(app.now()));
-        let hold = Hold::new(&app, &target.id, self.chosen.todo);
+        let hold = Hold::new(&app, &target.id, self.chosen.todo, self.task.request.work.rank);
         let begun = app.now();
         let job = self.job(&target, None);
         match app.ports.engines.prefill(target.address, job).await {
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -1,7 +1,7 @@
 use {
     super::task::{Chosen, Target, Task},
     lentil_core::{
-        admit::{admit, join_queue, Ask},
+        admit::{admit, in_time, join_late, join_queue, Ask},
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{Blocks, Progress},
@@ -61,7 +61,12 @@
         if tries == 0 && self.request.routed.is_none() {
             self.arrived(picked.as_ref().map_or(Tokens(0), |p| p.hit));
         }
-        let pick = picked?;
+        let mut pick = picked?;
+        if tries == 0 && self.steps_back(&pick) {
+            work.rank = work.rank.back();
+            self.request.work.rank = work.rank;
+            pick = choose(&fleet.engines, &cache, &work, &place, now)?;
+        }
         if tries == 0 {
             self.admit(&pick, now)?;
         }
@@ -89,8 +94,9 @@
         if let Some(routed) = &self.request.routed {
             let split = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={tries} routes={} targets_age_ms={} decode={} prefill={split} todo={todo} hit={} fetch={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={tries} rank={} routes={} targets_age_ms={} decode={} prefill={split} todo={todo} hit={} fetch={} first_ms={} wait_ms={}",
                 routed.call.id,
+                work.rank,
                 routed.version,
                 (now - fleet.looked).as_millis(),
                 decode.id,
@@ -119,11 +125,21 @@
         }
     }
 
+    /// Whether a request lets others go first, since it can't be answered in time itself.
+    fn steps_back(&self, pick: &Pick) -> bool {
+        let work = &self.request.work;
+        self.request.routed.is_some() && work.prompt > Tokens(0) && !in_time(&work.class, pick)
+    }
+
     /// Admission, with the use that it leads to.
     fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
         let request = &self.request;
         if let Some(routed) = &request.routed {
-            return join_queue(&request.work.class, pick, routed.deadline - now);
+            let left = routed.deadline - now;
+            return match request.work.rank > request.work.class.rank() {
+                true => join_late(&request.work.class, pick, left.min(routed.route.silence.span())),
+                false => join_queue(&request.work.class, pick, left),
+            };
         }
         let mut gate = self.app.gate();
         let ask = Ask {
--- a/node/src/run/hold.rs
+++ b/node/src/run/hold.rs
@@ -2,7 +2,7 @@
     crate::app::App,
     lentil_core::{
         fleet::Shared,
-        ids::{EngineId, Tokens},
+        ids::{EngineId, Rank, Tokens},
     },
     std::sync::Arc,
 };
@@ -12,6 +12,7 @@
     app: Arc<App>,
     id: EngineId,
     tokens: Tokens,
+    rank: Rank,
     prefilled: bool,
 }
 
@@ -23,10 +24,10 @@
 }
 
 impl Hold {
-    /// Counts a request with `tokens` to prefill.
-    pub(super) fn new(app: &Arc<App>, id: &EngineId, tokens: Tokens) -> Self {
-        shared(app, id, |shared| shared.began(tokens));
-        Self { app: app.clone(), id: id.clone(), tokens, prefilled: false }
+    /// Counts a request of `rank` with `tokens` to prefill.
+    pub(super) fn new(app: &Arc<App>, id: &EngineId, tokens: Tokens, rank: Rank) -> Self {
+        shared(app, id, |shared| shared.began(tokens, rank));
+        Self { app: app.clone(), id: id.clone(), tokens, rank, prefilled: false }
     }
 
     /// Notes that the prompt has been prefilled; true the first time.
@@ -36,8 +37,8 @@
         }
         let tokens = std::mem::take(&mut self.tokens);
         shared(&self.app, &self.id, |shared| {
-            shared.ended(tokens);
-            shared.began(Tokens(0));
+            shared.ended(tokens, self.rank);
+            shared.began(Tokens(0), self.rank);
         });
         true
     }
@@ -45,6 +46,6 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        shared(&self.app, &self.id, |shared| shared.ended(self.tokens));
+        shared(&self.app, &self.id, |shared| shared.ended(self.tokens, self.rank));
     }
 }
