Late requests queue for up to half the objective; balance starts from an unbiased mean; resends count prefills

The mean use rose from nothing, so that a change was made that its own bound on decode slots forbids.

--- a/core/src/admit/queue.rs
+++ b/core/src/admit/queue.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
         error::{ErrorKind, Fault},
+        ids::Tokens,
         manifest::ClassSpec,
-        route::Pick,
+        route::{Pick, Work},
     },
     std::time::Duration,
 };
@@ -10,15 +11,42 @@
 /// Part of a class's time to the first answer that may pass in the queues of targets that serve in
 /// order of arrival. Beyond it most requests would be late; refusing some keeps the others in time.
 const QUEUED: f64 = 0.7;
-/// Part of the time that a late request has left which may pass in the queue: others may still go
-/// before it.
-const LATE: f64 = 0.3;
+/// The same for late requests: an engine does not put a prompt aside that it has begun to read, so
+/// each of them delays others by a whole prompt.
+const LATE: f64 = 0.5;
 /// Shortest time after which a refused caller is told to return.
 const LEAST: Duration = Duration::from_millis(100);
 
-/// Whether a request is expected to be answered within its class's objective.
-pub fn in_time(class: &ClassSpec, pick: &Pick) -> bool {
-    pick.first <= class.first.span()
+/// How long a caller stays.
+#[derive(Debug, Clone, Copy)]
+pub struct Stay {
+    /// Time until the final answer must be given.
+    pub left: Duration,
+    /// Longest time without a piece of the answer.
+    pub silence: Duration,
+}
+
+/// Chooses engines for a request that is passed on, and decides whether it joins their queues.
+///
+/// Answers gusts of long prompts: engines read one prompt after the other, so a request that will
+/// be late however it is placed would make others late as well. It steps back behind those that
+/// can be in time, and joins short queues only. What engines hold of it by rank is in `choose`.
+///
+/// # Errors
+/// [`ErrorKind::NoCapacity`] with the time after which the queue has room, or what `choose` finds.
+pub fn take_turn(
+    work: &mut Work,
+    stay: Stay,
+    choose: impl Fn(&Work) -> Result<Pick, Fault>,
+) -> Result<Pick, Fault> {
+    let pick = choose(work)?;
+    let reads = work.prompt > Tokens(0);
+    if !reads || pick.first <= work.class.first.span() {
+        return join_queue(&work.class, &pick, stay.left).map(|()| pick);
+    }
+    work.rank = work.rank.back();
+    let pick = choose(work)?;
+    join_late(&work.class, &pick, stay.left.min(stay.silence)).map(|()| pick)
 }
 
 /// Decides whether a request joins the queue of its best target, with `left` until its final
@@ -33,12 +61,8 @@
     join(pick, class.first.span().mul_f64(QUEUED), left)
 }
 
-/// Decides whether a request that will be late joins a queue behind those that can be in time,
-/// with `left` until its caller gives up. Answers the same load, on engines that serve by rank.
-///
-/// # Errors
-/// [`ErrorKind::NoCapacity`] with the time after which the queue has room.
-pub fn join_late(class: &ClassSpec, pick: &Pick, left: Duration) -> Result<(), Fault> {
+/// The same for a request that will be late, with `left` until its caller gives up.
+fn join_late(class: &ClassSpec, pick: &Pick, left: Duration) -> Result<(), Fault> {
     join(pick, class.first.span().mul_f64(LATE), left)
 }
 
--- a/core/src/limit/resend.rs
+++ b/core/src/limit/resend.rs
@@ -38,25 +38,25 @@
         self.slice(limit, now).requests += 1;
     }
 
-    /// Takes a resend if the share of one of `instances` allows it.
+    /// Takes `count` resends if the share of one of `instances` allows them.
     ///
     /// ```
     /// # use {lentil_core::{clock::Time, limit::{ResendBudget, ResendLimit}}, std::time::Duration};
     /// let limit = ResendLimit { ratio: 0.0, slack: 10.0, window: Duration::from_secs(10) };
     /// let mut budget = ResendBudget::default();
-    /// let taken = (0..20).filter(|_| budget.take(&limit, 2, Time::ZERO)).count();
+    /// let taken = (0..20).filter(|_| budget.take(&limit, 2, 1, Time::ZERO)).count();
     /// assert_eq!(taken, 4);
     /// ```
-    pub fn take(&mut self, limit: &ResendLimit, instances: u32, now: Time) -> bool {
+    pub fn take(&mut self, limit: &ResendLimit, instances: u32, count: u32, now: Time) -> bool {
         self.slice(limit, now);
         let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
         let resends: u32 = self.slices.iter().map(|s| s.resends).sum();
         let share = limit.slack / f64::from(instances.max(1));
         let allowed = (limit.ratio * f64::from(requests) + share) * MARGIN;
-        if f64::from(resends + 1) > allowed {
+        if f64::from(resends + count) > allowed {
             return false;
         }
-        self.slice(limit, now).resends += 1;
+        self.slice(limit, now).resends += count;
         true
     }
 
--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -53,7 +53,7 @@
         let now = Time::from_millis(ms);
         budget.request(&limit, now);
         sent.push(ms);
-        if budget.take(&limit, 3, now) {
+        if budget.take(&limit, 3, 1, now) {
             taken.push(ms);
         }
     }
@@ -70,3 +70,12 @@
         );
     }
 }
+
+#[test]
+fn resends_count_each_arrival_of_a_prefilled_request() {
+    let limit = ResendLimit { ratio: 0.0, slack: 10.0, window: std::time::Duration::from_secs(10) };
+    let mut budget = ResendBudget::default();
+    // Of 8 resends 2 go to each prefill and run.
+    let taken = (0..20).filter(|_| budget.take(&limit, 1, 2, Time::ZERO)).count();
+    assert_eq!(taken, 4);
+}
--- a/core/src/order/tests.rs
+++ b/core/src/order/tests.rs
@@ -1,7 +1,7 @@
 use {
     super::*,
     crate::{
-        ids::{Fence, Incarnation},
+        ids::{EngineId, Fence, Incarnation},
         manifest::Role,
     },
     std::collections::BTreeMap,
@@ -100,3 +100,39 @@
     let late = ledger.open(&holder("a"), &"e".parse().unwrap(), Order::Hold, Incarnation(1), None);
     assert_eq!(late, Err(OrderError::NotHolder(holder("b"))));
 }
+
+#[test]
+fn resolve_counts_the_orders_that_an_engine_accepted() {
+    use super::{Frozen::Delivery, Resolution::*};
+    let me = holder("a");
+    // name, orders accepted, boot, changing, resolution
+    let cases = [
+        ("may yet arrive", 3, 1, false, Raise),
+        ("carried out", 4, 1, false, Settled),
+        ("being carried out", 4, 1, true, Frozen(Delivery)),
+        ("another came first", 6, 1, false, Settled),
+        ("restarted, and counts anew", 0, 2, false, Settled),
+    ];
+    for (name, accepted, boot, changing, expected) in cases {
+        // Another's order needs no proof that it has ended: the count makes it void.
+        let entry = Entry { before: Some(3), ..entry("b") };
+        let accepted = Some(accepted);
+        let report = EngineReport { accepted, changing, ..report(boot, Role::Decode, 0) };
+        assert_eq!(resolve(&entry, false, &report, &me, Proof::None), expected, "{name}");
+    }
+}
+
+#[test]
+fn ledger_forgets_settled_orders_of_engines_that_are_gone() {
+    let me = holder("a");
+    let mut ledger = Ledger::take(None, me.clone(), "w".parse().unwrap());
+    let (left, open): (EngineId, EngineId) = ("e".parse().unwrap(), "f".parse().unwrap());
+    for engine in [&left, &open] {
+        ledger.open(&me, engine, Order::Role(Role::Prefill), Incarnation(1), Some(0)).unwrap();
+    }
+    ledger.settle(&left, ledger.entries[&left].number);
+    ledger.forget(|_| false);
+    assert_eq!(ledger.entries.len(), 2);
+    ledger.forget(|_| true);
+    assert_eq!(ledger.entries.keys().collect::<Vec<_>>(), [&open], "an open order stays");
+}
--- a/core/src/plan/balance.rs
+++ b/core/src/plan/balance.rs
@@ -12,6 +12,8 @@
 const GAIN: f64 = 0.06;
 /// Highest use of the decoding engines that a change may lead to: streams slow down beyond it.
 const DECODE_FULL: f64 = 0.55;
+/// Time from the first work to the first change: a mean of less says little.
+const START: Duration = Duration::from_secs(5);
 /// Time for which a change must have seemed to pay.
 const STEADY: Duration = Duration::from_secs(2);
 /// Time after a change before one in the other direction: the mean has to settle, and engines
@@ -57,6 +59,8 @@
 #[derive(Debug, Clone)]
 pub struct Balance {
     mean: Use,
+    /// When there was work for the first time.
+    begun: Option<Time>,
     at: Time,
     toward: Option<(Role, Time)>,
     changed: Option<(Role, Time)>,
@@ -65,7 +69,7 @@
 impl Balance {
     /// A balance that has seen nothing yet.
     pub fn new(now: Time) -> Self {
-        Self { mean: Use::default(), at: now, toward: None, changed: None }
+        Self { mean: Use::default(), begun: None, at: now, toward: None, changed: None }
     }
 
     /// The mean use.
@@ -78,7 +82,12 @@
     pub fn decide(&mut self, latest: Use, split: Split, away: usize, now: Time) -> Option<Role> {
         let passed = (now - self.at).as_secs_f64();
         self.at = now;
-        self.mean = self.mean.toward(latest, passed / SPAN);
+        if self.begun.is_none() && latest.worse() > 0.0 {
+            self.begun = Some(now);
+        }
+        // At first the mean of what there is: one that rises from nothing would mislead.
+        let reach = self.begun.map_or(passed, |t| (now - t).as_secs_f64() + passed).min(SPAN);
+        self.mean = self.mean.toward(latest, passed / reach.max(1e-3));
         let toward = self.better(split).filter(|role| self.may_turn(*role, now));
         let since = match (toward, self.toward) {
             (Some(role), Some((old, since))) if role == old => since,
@@ -87,7 +96,8 @@
         self.toward = toward.map(|role| (role, since));
         let role = toward?;
         let room = ((split.total() as f64 * AWAY) as usize).max(1);
-        if now - since < STEADY || away >= room {
+        let early = self.begun.is_none_or(|t| now - t < START);
+        if early || now - since < STEADY || away >= room {
             return None;
         }
         self.mean = self.mean.spread(split, moved(split, role)?);
--- a/core/src/plan/tests.rs
+++ b/core/src/plan/tests.rs
@@ -95,3 +95,84 @@
     assert!((demand.first() - 0.48).abs() < 1e-9);
     assert!(meter.demand(Time::from_millis(120_000)).prefill < 1.0);
 }
+
+/// Plays work for so many engines of each role, looked at five times a second.
+fn keep(seconds: u64, mut split: Split, work: impl Fn(u64) -> (f64, f64)) -> (Split, u32) {
+    let (mut balance, mut changes) = (Balance::new(Time::ZERO), 0);
+    for step in 0..seconds * 5 {
+        let now = Time::from_millis(step * 200);
+        let (prefill, decode) = work(step / 5);
+        let used = Use {
+            prefill: (prefill / split.prefill as f64).min(1.0),
+            decode: (decode / split.decode as f64).min(1.0),
+        };
+        match balance.decide(used, split, 0, now) {
+            Some(Role::Prefill) => {
+                (split.prefill, split.decode) = (split.prefill + 1, split.decode - 1)
+            }
+            Some(Role::Decode) => {
+                (split.prefill, split.decode) = (split.prefill - 1, split.decode + 1)
+            }
+            None => continue,
+        }
+        changes += 1;
+    }
+    (split, changes)
+}
+
+#[test]
+fn balance_gives_the_busier_role_engines_until_both_are_used_alike() {
+    let third = Split { prefill: 3, decode: 6 };
+    let (split, changes) = keep(30, third, |_| (2.4, 1.2));
+    assert_eq!((split, changes), (Split { prefill: 6, decode: 3 }, 3));
+    let (split, changes) = keep(60, third, |_| (0.5, 4.0));
+    assert_eq!((split, changes), (Split { prefill: 1, decode: 8 }, 2));
+}
+
+#[test]
+fn balance_leaves_a_swinging_mix_and_an_idle_fleet_alone() {
+    let half = Split { prefill: 5, decode: 5 };
+    let swing = |s: u64| if s % 6 < 3 { (4.0, 1.0) } else { (1.0, 4.0) };
+    assert_eq!(keep(120, half, swing).1, 0);
+    assert_eq!(keep(60, Split { prefill: 2, decode: 8 }, |_| (0.6, 0.1)).1, 0);
+}
+
+#[test]
+fn balance_keeps_an_engine_of_each_role_and_streams_their_slots() {
+    let few = Split { prefill: 1, decode: 1 };
+    assert_eq!(keep(60, few, |_| (5.0, 0.0)).0, few);
+    // A fourth prefilling engine would leave the streams too few slots.
+    assert_eq!(keep(60, Split { prefill: 3, decode: 3 }, |_| (3.0, 1.4)).1, 0);
+}
+
+#[test]
+fn balance_turns_back_only_after_a_while() {
+    let mut balance = Balance::new(Time::ZERO);
+    let mut turned = Vec::new();
+    let mut split = Split { prefill: 3, decode: 6 };
+    for step in 0..400_u64 {
+        let now = Time::from_millis(step * 100);
+        let busy = if step < 100 { (1.0, 0.1) } else { (0.05, 0.9) };
+        let used = Use { prefill: busy.0, decode: busy.1 };
+        if let Some(role) = balance.decide(used, split, 0, now) {
+            turned.push((role, step / 10));
+            split = match role {
+                Role::Prefill => Split { prefill: split.prefill + 1, decode: split.decode - 1 },
+                Role::Decode => Split { prefill: split.prefill - 1, decode: split.decode + 1 },
+            };
+        }
+    }
+    let last = turned.iter().rfind(|(r, _)| *r == Role::Prefill).unwrap().1;
+    let back = turned.iter().find(|(r, _)| *r == Role::Decode).unwrap().1;
+    assert!(back >= last + 20, "{turned:?}");
+}
+
+#[test]
+fn balance_waits_while_a_fifth_of_the_engines_is_away() {
+    let mut balance = Balance::new(Time::ZERO);
+    let split = Split { prefill: 3, decode: 6 };
+    let used = Use { prefill: 1.0, decode: 0.1 };
+    let decided =
+        (0..100_u64).any(|i| balance.decide(used, split, 1, Time::from_millis(i * 200)).is_some());
+    assert!(!decided);
+}
--- a/node/src/app/gate.rs
+++ b/node/src/app/gate.rs
@@ -46,9 +46,9 @@
         self.resends.entry(service.clone()).or_default().request(&self.limit, now);
     }
 
-    /// Takes a resend to a service from the share of one of `instances`.
-    pub fn resend(&mut self, service: &ModelId, instances: u32, now: Time) -> bool {
-        self.resends.entry(service.clone()).or_default().take(&self.limit, instances, now)
+    /// Takes `count` resends to a service from the share of one of `instances`.
+    pub fn resend(&mut self, service: &ModelId, instances: u32, count: u32, now: Time) -> bool {
+        self.resends.entry(service.clone()).or_default().take(&self.limit, instances, count, now)
     }
 
     /// Notes work that arrived for a cell's engines.
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -1,7 +1,7 @@
 use {
     super::task::{Chosen, Target, Task},
     lentil_core::{
-        admit::{admit, in_time, join_late, join_queue, Ask},
+        admit::{admit, take_turn, Ask, Stay},
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{Blocks, Progress},
@@ -57,19 +57,24 @@
         let mut fleet = app.fleet();
         fleet.refresh(now);
         let mut cache = app.cache();
-        let picked = choose(&fleet.engines, &cache, &work, &place, now);
-        if tries == 0 && self.request.routed.is_none() {
-            self.arrived(picked.as_ref().map_or(Tokens(0), |p| p.hit));
-        }
-        let mut pick = picked?;
-        if tries == 0 && self.steps_back(&pick) {
-            work.rank = work.rank.back();
-            self.request.work.rank = work.rank;
-            pick = choose(&fleet.engines, &cache, &work, &place, now)?;
-        }
-        if tries == 0 {
-            self.admit(&pick, now)?;
-        }
+        let chosen = |work: &Work| choose(&fleet.engines, &cache, work, &place, now);
+        let pick = match &self.request.routed {
+            Some(routed) if tries == 0 => {
+                let (left, silence) = (routed.deadline - now, routed.route.silence.span());
+                let pick = take_turn(&mut work, Stay { left, silence }, chosen)?;
+                self.request.work.rank = work.rank;
+                pick
+            }
+            Some(_) => chosen(&work)?,
+            None => {
+                let picked = chosen(&work);
+                if tries == 0 {
+                    self.arrived(picked.as_ref().map_or(Tokens(0), |p| p.hit));
+                    self.admit(picked.as_ref().map_err(Clone::clone)?, now)?;
+                }
+                picked?
+            }
+        };
         let todo = work.prompt - pick.hit;
         let fetch = pick.fetch.map(|i| fleet.engines[i].address);
         if let Some(key) = shared_key(&work).filter(|_| self.request.routed.is_some()) {
@@ -125,22 +130,9 @@
         }
     }
 
-    /// Whether a request lets others go first, since it can't be answered in time itself.
-    fn steps_back(&self, pick: &Pick) -> bool {
-        let work = &self.request.work;
-        self.request.routed.is_some() && work.prompt > Tokens(0) && !in_time(&work.class, pick)
-    }
-
     /// Admission, with the use that it leads to.
     fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
         let request = &self.request;
-        if let Some(routed) = &request.routed {
-            let left = routed.deadline - now;
-            return match request.work.rank > request.work.class.rank() {
-                true => join_late(&request.work.class, pick, left.min(routed.route.silence.span())),
-                false => join_queue(&request.work.class, pick, left),
-            };
-        }
         let mut gate = self.app.gate();
         let ask = Ask {
             workspace: &request.workspace,
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -220,7 +220,9 @@
             return true;
         }
         let instances = self.app.view().live().count() as u32 + 1;
-        self.app.gate().resend(&self.request.work.model, instances, now)
+        // A prompt that was prefilled is prefilled again before it runs elsewhere.
+        let count = 1 + u32::from(self.prefills > 0);
+        self.app.gate().resend(&self.request.work.model, instances, count, now)
     }
 
     fn finish(self) {
