--- a/core/src/limit/resend.rs
+++ b/core/src/limit/resend.rs
@@ -49,20 +49,30 @@
     /// ```
     pub fn take(&mut self, limit: &ResendLimit, instances: u32, count: u32, now: Time) -> bool {
         self.slice(limit, now);
-        let requests: u32 = self.slices.iter().map(|s| s.requests).sum();
-        let resends: u32 = self.slices.iter().map(|s| s.resends).sum();
-        let share = limit.slack / f64::from(instances.max(1));
-        let allowed = (limit.ratio * f64::from(requests) + share) * MARGIN;
-        if f64::from(resends + count) > allowed {
+        if i64::from(count) > self.left(limit, instances, now) {
             return false;
         }
         self.slice(limit, now).resends += count;
         true
     }
 
-    fn slice(&mut self, limit: &ResendLimit, now: Time) -> &mut Slice {
+    /// Resends that may be made at `now` by one of `instances`.
+    pub fn left(&self, limit: &ResendLimit, instances: u32, now: Time) -> i64 {
+        let oldest = Self::number(limit, now).saturating_sub(u64::from(SLICES));
+        let slices = self.slices.iter().filter(|s| s.number >= oldest);
+        let (requests, resends) = slices.fold((0, 0), |(a, b), s| (a + s.requests, b + s.resends));
+        let share = limit.slack / f64::from(instances.max(1));
+        let allowed = (limit.ratio * f64::from(requests) + share) * MARGIN;
+        (allowed - f64::from(resends)).floor() as i64
+    }
+
+    fn number(limit: &ResendLimit, now: Time) -> u64 {
         let length = (limit.window / SLICES).as_micros().max(1) as u64;
-        let number = now.as_micros() / length;
+        now.as_micros() / length
+    }
+
+    fn slice(&mut self, limit: &ResendLimit, now: Time) -> &mut Slice {
+        let number = Self::number(limit, now);
         // One slice more than the window has, since it begins within a slice.
         let oldest = number.saturating_sub(u64::from(SLICES));
         while self.slices.front().is_some_and(|s| s.number < oldest) {
--- a/core/src/plan/tests.rs
+++ b/core/src/plan/tests.rs
@@ -25,6 +25,14 @@
 
 const SPLIT: Split = Split { prefill: 3, decode: 7 };
 
+/// The split after one engine took a role.
+fn moved(split: Split, role: Role) -> Split {
+    match role {
+        Role::Prefill => Split { prefill: split.prefill + 1, decode: split.decode - 1 },
+        Role::Decode => Split { prefill: split.prefill - 1, decode: split.decode + 1 },
+    }
+}
+
 /// Runs a planner once a second over demands and counts the changes it makes.
 fn follow(weight: f64, demands: impl Iterator<Item = Demand>) -> (Split, u32) {
     let mut planner = Planner::new(ChangeWeight(weight), ChangeCost::default(), Time::ZERO);
@@ -36,10 +44,7 @@
             continue;
         };
         changes += 1;
-        split = match role {
-            Role::Prefill => Split { prefill: split.prefill + 1, decode: split.decode - 1 },
-            Role::Decode => Split { prefill: split.prefill - 1, decode: split.decode + 1 },
-        };
+        split = moved(split, role);
     }
     (split, changes)
 }
@@ -106,15 +111,8 @@
             prefill: (prefill / split.prefill as f64).min(1.0),
             decode: (decode / split.decode as f64).min(1.0),
         };
-        match balance.decide(used, split, 0, now) {
-            Some(Role::Prefill) => {
-                (split.prefill, split.decode) = (split.prefill + 1, split.decode - 1)
-            }
-            Some(Role::Decode) => {
-                (split.prefill, split.decode) = (split.prefill - 1, split.decode + 1)
-            }
-            None => continue,
-        }
+        let Some(role) = balance.decide(used, split, 0, now) else { continue };
+        split = moved(split, role);
         changes += 1;
     }
     (split, changes)
@@ -156,10 +154,7 @@
         let used = Use { prefill: busy.0, decode: busy.1 };
         if let Some(role) = balance.decide(used, split, 0, now) {
             turned.push((role, step / 10));
-            split = match role {
-                Role::Prefill => Split { prefill: split.prefill + 1, decode: split.decode - 1 },
-                Role::Decode => Split { prefill: split.prefill - 1, decode: split.decode + 1 },
-            };
+            split = moved(split, role);
         }
     }
     let last = turned.iter().rfind(|(r, _)| *r == Role::Prefill).unwrap().1;
--- a/ctl/src/args/mod.rs
+++ b/ctl/src/args/mod.rs
@@ -32,6 +32,40 @@
     History(History),
     /// Show what instances know.
     Status(Status),
+    /// Tell the story of a request.
+    Explain(Explain),
+    /// Report on the objectives.
+    Burn(Burn),
+}
+
+/// tell the story of one request from the instances' logs
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the request's id
+    #[argh(positional)]
+    pub id: String,
+    /// log files, named after their instances; standard input if there are none
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
+}
+
+/// report from the instances' logs how the objectives were met, by route
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "burn")]
+pub struct Burn {
+    /// part of the requests that are to be whole and in time; 0.99 if not given
+    #[argh(option, default = "0.99")]
+    pub goal: f64,
+    /// length of a window in seconds; 10 if not given
+    #[argh(option, default = "10.0")]
+    pub window: f64,
+    /// file for the report as one HTML page
+    #[argh(option)]
+    pub html: Option<PathBuf>,
+    /// log files, named after their instances; standard input if there are none
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
 }
 
 /// check a manifest; names each fault by its JSON path
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod args;
 pub mod commands;
+pub mod logs;
 pub mod queries;
 
 use {anyhow::Result, args::Command};
@@ -23,6 +24,8 @@
         Command::Get(args) => queries::get(&args).await,
         Command::Diff(args) => queries::diff(&args).await,
         Command::History(args) => queries::history(&args).await,
+        Command::Explain(args) => queries::explain(&args),
+        Command::Burn(args) => queries::burn(&args),
         Command::Status(args) => queries::status(&args).await,
         Command::Apply(args) => commands::apply(&args).await,
     }
--- /dev/null
+++ b/ctl/src/logs/mod.rs
@@ -0,0 +1,6 @@
+//! Reads the lines that instances log.
+
+mod line;
+mod source;
+
+pub use {line::*, source::*};
--- a/ctl/src/queries/mod.rs
+++ b/ctl/src/queries/mod.rs
@@ -1,6 +1,9 @@
 //! What reads state and changes none.
 
+mod burn;
+mod explain;
 mod instances;
 mod manifest;
+mod page;
 
-pub use {instances::*, manifest::*};
+pub use {burn::*, explain::*, instances::*, manifest::*, page::*};
--- /dev/null
+++ b/ctl/tests/logs.rs
@@ -0,0 +1,70 @@
+//! Stories and burn reports from lines as instances log them.
+
+use lentilctl::{
+    logs::Logs,
+    queries::{page, story, End, Report},
+};
+
+const LINES: &str = r#"
+ 4.0 edge-1 2026-01-11T20:30:20.5Z [INFO] directory: target=i-9 boot=7 service=s address=10.0.0.1:80 role=decode leaving=false
+ 5.0 edge-2 2026-01-11T20:30:21Z [INFO] run: id=aa chosen try=0 rank=1 routes=7 targets_age_ms=152 decode=i-9 prefill=- todo=215 hit=0 fetch=false first_ms=34 wait_ms=0
+ 5.1 edge-2 2026-01-11T20:30:21.12Z [INFO] run: id=aa failed at=i-9 begun=true sends=1 error="engine was lost: \"gone\" away"
+ 5.1 edge-2 2026-01-11T20:30:21.13Z [INFO] breaker: target=i-9 open after="it has crashed"
+ 5.1 edge-2 2026-01-11T20:30:21.13Z [INFO] breaker: target=i-8 open after="it has crashed"
+ 5.1 edge-2 2026-01-11T20:30:21.131Z [INFO] front: id=aa answered status=502 kind=target-lost outcome=unknown retry_ms=0 error="engine"
+ 5.2 edge-1 2026-01-11T20:30:21.2Z [INFO] run: id=bb route=r-a status=200 late=no rank=1 prompt=9 output=2 first_ms=40 total_ms=50 gap_ms=2 sends=1 events=5
+ 5.3 edge-1 2026-01-11T20:30:21.3Z [INFO] run: id=cc route=r-a status=200 late=yes rank=6 prompt=9 output=2 first_ms=900 total_ms=990 gap_ms=2 sends=1 events=5
+ 5.4 edge-1 2026-01-11T20:30:21.4Z [INFO] run: id=dd given_up route=r-a after_ms=0 routes=7 targets_age_ms=3 sends=0 events=0 why="no-capacity: the queue is 9 ms long"
+ 5.5 edge-1 2026-01-11T20:30:33.4Z [INFO] run: id=ee cut route=r-<b> after_ms=9 routes=7 targets_age_ms=3 sends=1 events=4 why="target-lost: x"
+ 5.6 edge-1 2026-01-11T20:30:33.5Z [INFO] run: id=ff left route=r-a after_ms=9 routes=7 targets_age_ms=3 sends=1 events=0 why="the caller has gone"
+log: left_out=12
+garbage that no instance wrote
+"#;
+
+fn logs() -> Logs {
+    let mut logs = Logs::default();
+    logs.take(LINES.as_bytes(), "file").unwrap();
+    logs.lines.sort_by_key(|l| l.at);
+    logs
+}
+
+#[test]
+fn story_tells_of_the_request_and_of_what_it_met() {
+    let story = story(&logs(), "aa").unwrap();
+    let order: Vec<&str> =
+        ["directory: target=i-9", "chosen", "failed at=i-9", "open after", "answered"]
+            .into_iter()
+            .filter(|part| story.contains(part))
+            .collect();
+    assert_eq!(order.len(), 5, "{story}");
+    assert!(!story.contains("i-8") && !story.contains("id=bb"), "{story}");
+    assert!(story.contains("it may have run"), "{story}");
+    assert!(story.contains("12 lines were left out"), "{story}");
+}
+
+#[test]
+fn story_of_an_unknown_request_is_none() {
+    assert_eq!(story(&logs(), "a"), None);
+}
+
+#[test]
+fn report_counts_each_end_by_route_and_window() {
+    let report = Report::of(&logs(), 10.0);
+    let ends = report.routes["r-a"][&0];
+    let counts = End::ALL.map(|e| ends.count(e));
+    assert_eq!((counts, ends.total()), ([1, 1, 1, 0, 0], 3));
+    // A caller that leaves uses up no budget.
+    assert_eq!(report.routes["r-a"][&1].total(), 0);
+    assert_eq!(report.routes["r-<b>"][&1].count(End::Failed), 1);
+    let text = report.text(0.9, 10.0);
+    assert!(text.contains("33.33") && text.contains("6.7") && text.contains("12 lines"), "{text}");
+}
+
+#[test]
+fn page_holds_all_that_it_shows() {
+    let page = page(&Report::of(&logs(), 10.0), 0.99, 10.0).unwrap();
+    assert_eq!(page.matches("<svg").count(), 2);
+    assert!(page.contains("r-&lt;b>") && !page.contains("r-<b>"));
+    let outside = page.replace("http://www.w3.org/2000/svg", "");
+    assert!(!outside.contains("http") && !outside.contains("src="), "no other file");
+}
--- a/node/src/app/gate.rs
+++ b/node/src/app/gate.rs
@@ -51,6 +51,11 @@
         self.resends.entry(service.clone()).or_default().take(&self.limit, instances, count, now)
     }
 
+    /// Resends that one of `instances` may make now, over all services.
+    pub fn resends_left(&self, instances: u32, now: Time) -> i64 {
+        self.resends.values().map(|b| b.left(&self.limit, instances, now)).sum()
+    }
+
     /// Notes work that arrived for a cell's engines.
     pub fn arrived(&mut self, cell: &CellId, model: &ModelId, demand: Demand, now: Time) {
         self.meters
--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -123,6 +123,7 @@
         self.changes.clear();
         self.planners.clear();
         self.balance = None;
+        app.meter.held.dec();
         app.meter.frozen.set(0);
     }
 
@@ -147,6 +148,7 @@
         app.view().tell(News::Holds { cell, holder, address, number });
         self.taken = app.now();
         self.hold = Some(hold);
+        app.meter.held.inc();
         Ok(())
     }
 
--- a/node/src/meter/metrics.rs
+++ b/node/src/meter/metrics.rs
@@ -3,7 +3,11 @@
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
         Opts, Registry, TextEncoder,
     },
-    std::time::Duration,
+    std::{
+        collections::BTreeSet,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
 };
 
 /// Bounds in seconds; the targets of 0.078 and 0.48 s are among them.
@@ -50,8 +54,32 @@
     pub age: IntGauge,
     /// Other instances that are thought to live.
     pub members: IntGauge,
+    /// Answers and failures of targets, by what came; targets beyond [`MAX_TARGETS`] count as one.
+    answers: IntCounterVec,
+    /// Wait expected in queues by class, as requests were admitted.
+    pub wait: HistogramVec,
+    /// Streams that went on from an event on another target.
+    pub resumes: IntCounter,
+    /// Requests that stepped back behind those in time, by class.
+    pub late: IntCounterVec,
+    /// Calls to the platform's store, by kind and result.
+    pub platform: IntCounterVec,
+    /// Cells held here.
+    pub held: IntGauge,
+    /// Resends that this instance may still make now, over all services.
+    pub resends: IntGauge,
+    /// Resident memory of the process in bytes.
+    pub memory: IntGauge,
+    named: Mutex<BTreeSet<String>>,
 }
 
+/// Targets with counters of their own: labels take memory, and a scrape must stay short.
+const MAX_TARGETS: usize = 256;
+/// Name under which further targets are counted.
+const OTHERS: &str = "others";
+/// How attempts on targets end.
+const ENDS: [&str; 3] = ["answered", "refused", "lost"];
+
 impl Default for Meter {
     fn default() -> Self {
         Self::new()
@@ -117,6 +145,19 @@
                 "Milliseconds since the directory told of targets",
             ),
             members: gauge("lentil_members", "Other instances that are thought to live"),
+            answers: counters("lentil_answers_total", "Answers of targets", &["target", "end"]),
+            wait: times("lentil_queue_wait_seconds", "Wait expected in queues at admission"),
+            resumes: counter("lentil_resumes_total", "Streams that went on elsewhere"),
+            late: counters("lentil_late_total", "Requests that stepped back", &["class"]),
+            platform: counters(
+                "lentil_platform_calls_total",
+                "Calls to the platform's store",
+                &["call", "result"],
+            ),
+            held: gauge("lentil_cells_held", "Cells whose engines are ordered from here"),
+            resends: gauge("lentil_resends_left", "Resends that may be made now"),
+            memory: gauge("lentil_memory_bytes", "Memory of the process"),
+            named: Mutex::default(),
             registry: r,
         }
     }
@@ -129,6 +170,31 @@
         self.targets.with_label_values(&labels).inc();
     }
 
+    /// Counts how an attempt on a target ended.
+    pub fn answered(&self, target: &str, end: &str) {
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        if !named.contains(target) && named.len() < MAX_TARGETS {
+            named.insert(target.to_owned());
+        }
+        let target = if named.contains(target) { target } else { OTHERS };
+        self.answers.with_label_values(&[target, end]).inc();
+    }
+
+    /// Forgets the counters of targets that are gone.
+    pub fn keep_targets(&self, lives: impl Fn(&str) -> bool) {
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        named.retain(|target| {
+            let keep = lives(target);
+            if !keep {
+                for end in ENDS {
+                    // There is none for what never came from it.
+                    let _ = self.answers.remove_label_values(&[target, end]);
+                }
+            }
+            keep
+        });
+    }
+
     /// Notes the times of an answer.
     pub fn timed(&self, class: &str, first: Duration, between: Duration) {
         self.first.with_label_values(&[class]).observe(first.as_secs_f64());
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -7,8 +7,12 @@
     },
     hyper::Response,
     lentil_core::manifest::Role,
+    std::collections::BTreeSet,
 };
 
+/// Bytes of a page of memory on the systems that instances run on.
+const PAGE: i64 = 4_096;
+
 /// Answers what the platform and operators ask; `None` for all other paths.
 pub fn probe(app: &App, path: &str) -> Option<Response<Body>> {
     match path {
@@ -21,6 +25,13 @@
     }
 }
 
+/// Bytes of memory in use; zero where the system does not tell.
+fn resident() -> i64 {
+    let pages = std::fs::read_to_string("/proc/self/statm").ok();
+    let pages = pages.and_then(|t| t.split(' ').nth(1)?.parse::<i64>().ok());
+    pages.map_or(0, |p| p * PAGE)
+}
+
 fn metrics(app: &App) -> Response<Body> {
     for role in [Role::Prefill, Role::Decode] {
         let count = app.fleet().count(role) as i64;
@@ -35,6 +46,11 @@
     app.meter.known.set(known as i64);
     app.meter.shut.set(shut as i64);
     app.meter.age.set(age as i64);
+    let lives: BTreeSet<String> =
+        app.fleet().engines.iter().map(|e| e.id.as_str().to_owned()).collect();
+    app.meter.keep_targets(|target| lives.contains(target));
+    app.meter.resends.set(app.gate().resends_left(app.view().live().count() as u32 + 1, now));
+    app.meter.memory.set(resident());
     app.meter.members.set(app.view().live().count() as i64);
     app.meter.suspects.set(app.quarantine().len() as i64);
     text(200, app.meter.text())
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -67,6 +67,9 @@
         // A run that is given up from here on may have begun.
         let begun = std::mem::replace(&mut self.task.begun, true);
         self.task.arrivals += 1;
+        if self.task.last.is_some() {
+            self.task.app.meter.resumes.inc();
+        }
         match engines.generate(target.address, job).await {
             Ok(answer) => {
                 if let Some(export) = &mut export {
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -63,6 +63,11 @@
                 let (left, silence) = (routed.deadline - now, routed.route.silence.span());
                 let pick = take_turn(&mut work, Stay { left, silence }, chosen)?;
                 self.request.work.rank = work.rank;
+                let class = self.request.class.as_str();
+                app.meter.wait.with_label_values(&[class]).observe(pick.wait.as_secs_f64());
+                if work.rank > work.class.rank() {
+                    app.meter.late.with_label_values(&[class]).inc();
+                }
                 pick
             }
             Some(_) => chosen(&work)?,
--- a/node/src/run/routed.rs
+++ b/node/src/run/routed.rs
@@ -4,16 +4,25 @@
 };
 
 impl Task {
+    /// Whether the answer began later than its objective, or paused for longer.
+    fn late(&self) -> bool {
+        let (request, class) = (&self.request, &self.request.work.class);
+        let first = self.first.unwrap_or(self.app.now()) - request.arrived;
+        first > class.first.span() || self.gap > class.between.span()
+    }
+
     /// One line for each request that was answered, with where its time went.
     fn log_end(&self) {
         let (request, now) = (&self.request, self.app.now());
         let Some(routed) = &request.routed else { return };
         let first = self.first.map_or(0, |t| (t - request.arrived).as_millis());
+        let late = if self.late() { "yes" } else { "no" };
         log::info!(
-            "run: id={} route={} status={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
+            "run: id={} route={} status={} late={late} rank={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
             routed.call.id,
             request.class,
             self.status,
+            request.work.rank,
             request.work.prompt,
             request.work.output,
             (now - request.arrived).as_millis(),
@@ -29,8 +38,9 @@
         let waited = (self.app.now() - self.request.arrived).as_millis();
         let age = (self.app.now() - self.app.fleet().looked).as_millis();
         log::info!(
-            "run: id={} {how} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
+            "run: id={} {how} route={} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
             routed.call.id,
+            self.request.class,
             routed.version,
             self.arrivals,
             self.last.unwrap_or(0),
@@ -55,8 +65,7 @@
         self.app.meter.first.with_label_values(&[class]).observe(first.as_secs_f64());
         self.app.meter.between.with_label_values(&[class]).observe(self.gap.as_secs_f64());
         let good = self.status < 400;
-        let late = first > request.work.class.first.span();
-        let spent = (!good).then_some("status").or(late.then_some("first"));
+        let spent = (!good).then_some("status").or(self.late().then_some("late"));
         self.app.meter.ended(service, class, if good { "whole" } else { "failure" }, spent);
         if good {
             self.app.quarantine().cleared(request.print);
