--- a/ctl/src/queries/page.rs
+++ b/ctl/src/queries/page.rs
@@ -9,6 +9,8 @@
 const SIZE: (u32, u32) = (860, 260);
 /// Lowest burn rate that a plot reaches up to, so that quiet routes look quiet.
 const LEAST: f64 = 2.0;
+/// Routes that are plotted; the table has them all.
+const MOST_PLOTS: usize = 10;
 const STYLE: &str = "body{font:15px sans-serif;margin:2em auto;max-width:900px;color:#222}\
     table{border-collapse:collapse}td,th{padding:.25em .8em;text-align:right}\
     th:first-child,td:first-child{text-align:left}tr:nth-child(even){background:#f3f3f3}";
@@ -39,7 +41,7 @@
         let _ = write!(page, "<td>{good:.2}<td>{:.1}</tr>", all.bad() / (1.0 - goal));
     }
     page.push_str("</table>");
-    for (route, windows) in &report.routes {
+    for (route, windows) in worst(report) {
         let svg = plot(windows, goal, seconds).map_err(|e| anyhow!("plot of {route:?}: {e}"))?;
         let _ = write!(page, "<h2>{}</h2>{svg}", escape(route));
     }
@@ -50,6 +52,18 @@
     Ok(page)
 }
 
+/// The routes with the most requests that were not good.
+fn worst(report: &Report) -> Vec<(&String, &BTreeMap<u64, Ends>)> {
+    let bad = |windows: &BTreeMap<u64, Ends>| {
+        let all = sum(windows.values());
+        all.total() - all.count(End::Good)
+    };
+    let mut routes: Vec<_> = report.routes.iter().filter(|(_, w)| bad(w) > 0).collect();
+    routes.sort_by_key(|(_, windows)| std::cmp::Reverse(bad(windows)));
+    routes.truncate(MOST_PLOTS);
+    routes
+}
+
 fn plot(windows: &BTreeMap<u64, Ends>, goal: f64, seconds: f64) -> Result<String> {
     let rate = |ends: &Ends| ends.bad() / (1.0 - goal);
     let last = windows.keys().next_back().map_or(0, |w| w + 1) as f64 * seconds;
