--- a/core/src/fleet/registration.rs
+++ b/core/src/fleet/registration.rs
@@ -1,11 +1,14 @@
 use crate::{
-    ids::{EngineId, Incarnation, ModelId, Region, Zone},
+    ids::{EngineId, Incarnation, ModelId, Region, Revision, Zone},
     manifest::Role,
 };
-use std::net::SocketAddr;
+use {
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
 
 /// What a target says of itself in the platform's directory.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// Its name; another start may bear it again.
     pub id: EngineId,
@@ -28,3 +31,23 @@
     /// Version of its weights, if it has any.
     pub weights: Option<u64>,
 }
+
+/// One change among the targets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TargetChange {
+    /// A target is there as it says now.
+    There(Registration),
+    /// The entry is gone, or names no target that can be used.
+    Gone(EngineId),
+}
+
+/// Changes among the targets after one revision of the directory and up to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetBatch {
+    /// The revision before them.
+    pub from: Revision,
+    /// The revision with them.
+    pub to: Revision,
+    /// In the order in which they happened.
+    pub changes: Vec<TargetChange>,
+}
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -1,7 +1,7 @@
 use {
     super::{MemberInfo, MemberState},
     crate::{
-        fleet::{Held, PartNote},
+        fleet::{Held, PartNote, TargetBatch},
         ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
         manifest::{Edit, ManifestRecord, Role},
         order::Holder,
@@ -54,6 +54,8 @@
     Sends(Vec<SendNote>),
     /// Shared parts of prompts that the sender has had read, by datagram.
     Placed(Vec<PartNote>),
+    /// The latest changes among the targets, in order, as the sender read them, by datagram.
+    Targets(Vec<TargetBatch>),
 }
 
 /// Demand for one model's engines in one cell.
--- a/core/src/settings/hosted.rs
+++ b/core/src/settings/hosted.rs
@@ -26,6 +26,14 @@
     /// Lease of this instance's entry among the instances.
     #[serde(default = "default_presence")]
     pub presence: Millis,
+    /// Instances of a region from which on one of them looks at the directory of targets for all.
+    #[serde(default = "default_crowd")]
+    pub crowd: usize,
+}
+
+fn default_crowd() -> usize {
+    // Below it all looks together are few.
+    16
 }
 
 fn default_presence() -> Millis {
@@ -60,6 +68,7 @@
         require(ratio, "hosted.resends.ratio", "must lie between 0 and 1");
         require(self.resends.slack >= 0.0, "hosted.resends.slack", "must not be negative");
         require(self.resends.window > 0.0, "hosted.resends.window", "must be greater than 0");
+        require(self.crowd >= 2, "hosted.crowd", "must be at least 2");
         require(self.presence.0 >= 1_000, "hosted.presence", "shorter than 1000 ms");
         found
     }
--- a/node/src/app/shared.rs
+++ b/node/src/app/shared.rs
@@ -10,7 +10,7 @@
     lentil_core::{
         clock::Time,
         error::{ErrorKind, Fault},
-        fleet::CacheIndex,
+        fleet::{CacheIndex, TargetBatch},
         ids::Revision,
         limit::ResendLimit,
         manifest::{ManifestIndex, ManifestRecord},
@@ -82,6 +82,8 @@
     pub open: Arc<Semaphore>,
     /// The instance's phase.
     pub phase: watch::Sender<Phase>,
+    /// The latest changes among the targets that another instance told.
+    pub told: watch::Sender<Arc<Vec<TargetBatch>>>,
     force: RwLock<Option<InForce>>,
     routes: RwLock<Option<Arc<RouteTable>>>,
     view: Mutex<View>,
@@ -127,6 +129,7 @@
             open: Arc::new(Semaphore::new(settings.limits.open)),
             meter: Meter::new(),
             phase: watch::Sender::new(Phase::Serving),
+            told: watch::Sender::default(),
             post: Post::default(),
             socket: OnceLock::new(),
             seats: Seats::default(),
--- a/node/src/follow/mod.rs
+++ b/node/src/follow/mod.rs
@@ -4,6 +4,7 @@
 mod list;
 mod manifest;
 mod routes;
+mod spread;
 mod targets;
 
 pub use {
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -1,10 +1,12 @@
 use {
+    super::spread::{self, Spread},
     crate::{
         app::App,
-        ports::{Directory, DirectoryError, TargetChange, TargetChanges},
+        ports::{Directory, DirectoryError, TargetChanges},
     },
     lentil_core::{
         clock::Time,
+        fleet::{TargetBatch, TargetChange},
         ids::{EngineId, Revision},
         limit::Backoff,
         mesh::News,
@@ -14,7 +16,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Part of the time within which leaving targets must be known that passes between two looks:
@@ -31,15 +33,38 @@
 const REREAD: Duration = Duration::from_secs(30);
 
 /// Follows the targets of the directory for ever.
+///
+/// In a large region one instance looks for all and tells the others; who has not heard from it
+/// for a while looks itself, so that nothing depends on that one.
 pub async fn follow_targets(app: Arc<App>, directory: Arc<dyn Directory>) {
     let mut follower = Follower::default();
     let mut backoff = Backoff::new(PAUSES[0], PAUSES[1]);
     let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.span());
+    let mut told = app.told.subscribe();
     loop {
-        match follower.look(&app, directory.as_ref()).await {
+        let for_all = spread::looks_for_all(&app);
+        if let Some(left) = follower.covered(app.now()).filter(|_| !for_all) {
+            if let Ok(Ok(())) = timeout(left, told.changed()).await {
+                let batches = told.borrow_and_update().clone();
+                follower.hear(&app, &batches);
+            }
+            continue;
+        }
+        let (wait, pace) = match for_all {
+            true => (spread::WAIT, spread::PACE),
+            false => (WAIT, drain.mul_f64(PACE)),
+        };
+        match follower.look(&app, directory.as_ref(), wait).await {
             Ok(()) => {
                 backoff.succeeded();
-                sleep(follower.at_most(drain.mul_f64(PACE), app.now())).await;
+                let pause = follower.at_most(pace, app.now());
+                if for_all {
+                    follower.spread.tell(&app).await;
+                    sleep(pause).await;
+                } else if let Ok(Ok(())) = timeout(pause, told.changed()).await {
+                    let batches = told.borrow_and_update().clone();
+                    follower.hear(&app, &batches);
+                }
             }
             Err(error) => {
                 follower.failed(&app, &error);
@@ -58,14 +83,50 @@
     failing: bool,
     /// Targets whose entries are gone since an outage, which may be back.
     missing: BTreeMap<EngineId, Time>,
+    /// What it read itself lately.
+    spread: Spread,
+    /// When another instance last told all that there is.
+    heard: Option<Time>,
 }
 
 impl Follower {
-    async fn look(&mut self, app: &App, directory: &dyn Directory) -> Result<(), DirectoryError> {
+    /// Time for which nothing needs to be read, since another instance tells.
+    fn covered(&self, now: Time) -> Option<Duration> {
+        let (at, read) = (self.heard? + spread::COVER, self.read?);
+        let current = now < at && now - read <= REREAD && self.at.is_some();
+        current.then(|| self.at_most(at - now, now))
+    }
+
+    /// Takes in what another instance read.
+    fn hear(&mut self, app: &App, batches: &[TargetBatch]) {
+        let Some(at) = self.at else { return };
+        let Some(news) = spread::leading_on(batches, at) else {
+            // Some were lost: it looks itself.
+            self.heard = None;
+            return;
+        };
+        for batch in news {
+            for change in &batch.changes {
+                self.take(app, change.clone());
+            }
+            self.at = Some(batch.to);
+        }
+        let now = app.now();
+        self.heard = Some(now);
+        app.fleet().looked = now;
+        self.drop_missing(app);
+    }
+
+    async fn look(
+        &mut self,
+        app: &App,
+        directory: &dyn Directory,
+        wait: Duration,
+    ) -> Result<(), DirectoryError> {
         let now = app.now();
         let stale = self.read.is_none_or(|t| now - t > REREAD);
         let found = match self.at.filter(|_| !stale) {
-            Some(at) => directory.target_changes(at, self.at_most(WAIT, now)).await?,
+            Some(at) => directory.target_changes(at, self.at_most(wait, now)).await?,
             None => {
                 let all = directory.targets().await?;
                 self.read = Some(now);
@@ -74,7 +135,13 @@
             }
         };
         self.recovered(app);
+        // A full reading leads on from nothing: who lacks what it has reads itself.
+        let (from, changes) = match self.at.filter(|_| !stale) {
+            Some(at) => (at, found.changes.clone()),
+            None => (found.revision, Vec::new()),
+        };
         self.at = Some(found.revision);
+        self.spread.note(TargetBatch { from, to: found.revision, changes });
         app.fleet().looked = app.now();
         for change in found.changes {
             self.take(app, change);
@@ -93,6 +160,7 @@
 
     fn failed(&mut self, app: &App, error: &DirectoryError) {
         self.at = None;
+        self.heard = None;
         if *error == DirectoryError::Gone {
             return log::info!("directory: history is gone, reads all targets again");
         }
--- a/node/src/mesh/handle.rs
+++ b/node/src/mesh/handle.rs
@@ -45,6 +45,9 @@
                 cache.placed.note(part, now);
             }
         }
+        Message::Targets(batches) => {
+            app.told.send_replace(Arc::new(batches));
+        }
         // The rest comes by connection.
         _ => {}
     }
--- a/node/src/ports/directory.rs
+++ b/node/src/ports/directory.rs
@@ -1,10 +1,6 @@
 use {
     futures_util::future::BoxFuture,
-    lentil_core::{
-        fleet::Registration,
-        ids::{EngineId, Revision},
-        routes::RouteTable,
-    },
+    lentil_core::{fleet::TargetChange, ids::Revision, routes::RouteTable},
     std::time::Duration,
     thiserror::Error,
 };
@@ -20,15 +16,6 @@
     Unavailable(String),
 }
 
-/// One change among the targets.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum TargetChange {
-    /// A target is there as it says now.
-    There(Registration),
-    /// The entry is gone, or names no target that can be used.
-    Gone(EngineId),
-}
-
 /// Changes up to a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetChanges {
