--- a/node/src/follow/list.rs
+++ b/node/src/follow/list.rs
@@ -15,12 +15,16 @@
 
 /// Time between two reads of the list; a leaving target is to be heard of within 3 s.
 const PERIOD: Duration = Duration::from_millis(500);
+/// Reads with that time between them; instances find each other in them. After that, a list that
+/// tells of instances only is read at the longer time: who comes greets the others itself.
+const FIRST: u32 = 4;
+const LATER: Duration = Duration::from_secs(6);
 /// Longest pause beside it while the list is not available.
 const MOST: Duration = Duration::from_secs(4);
 
 /// Follows the platform's list: entry instances are greeted, leaving targets get no new work.
 pub async fn follow_list(app: Arc<App>) {
-    let mut version = 0;
+    let (mut version, mut reads) = (0, 0);
     let mut backoff = Backoff::new(PERIOD, MOST);
     loop {
         match app.ports.list.changes(version).await {
@@ -31,12 +35,14 @@
             Ok(changes) => {
                 backoff.succeeded();
                 version = changes.version;
+                reads += 1;
                 for listed in &changes.changed {
                     take(&app, listed).await;
                 }
             }
         }
-        sleep(PERIOD).await;
+        let hosted = app.settings.hosted.is_some();
+        sleep(if hosted && reads >= FIRST { LATER } else { PERIOD }).await;
     }
 }
 
