--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -87,22 +87,28 @@
     }
 
     /// Logs when the store begins to fail and when it is back, not each failure.
-    fn note(&mut self, done: Result<(), StoreError>) {
-        let failing = done.is_err();
+    fn note(&mut self, done: Result<bool, StoreError>) {
+        let failing = match &done {
+            Ok(asked) => self.failing && !asked,
+            Err(_) => true,
+        };
         match done {
             Err(error) if !self.failing => log::warn!("control: cell {}: {error}", self.cell),
-            Ok(()) if self.failing => log::info!("control: cell {}: the store is back", self.cell),
+            Ok(true) if self.failing => {
+                log::info!("control: cell {}: the store is back", self.cell);
+            }
             _ => {}
         }
         self.failing = failing;
     }
 
-    async fn tick(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
+    /// Does what is due; whether the store was there, or was not asked.
+    async fn tick(&mut self, app: &Arc<App>) -> Result<bool, StoreError> {
         let Some(mut hold) = self.hold.take() else { return self.seek(app).await };
         hold.renew(app).await;
         if !hold.seat.holds(app.now()) {
             self.lose(app);
-            return Ok(());
+            return Ok(false);
         }
         let done = self.work(app, &mut hold).await;
         match done {
@@ -115,7 +121,7 @@
                 done?;
             }
         }
-        Ok(())
+        Ok(true)
     }
 
     fn lose(&mut self, app: &App) {
@@ -128,7 +134,7 @@
     }
 
     /// Takes the cell if it has no holder and this instance is among its first candidates.
-    async fn seek(&mut self, app: &Arc<App>) -> Result<(), StoreError> {
+    async fn seek(&mut self, app: &Arc<App>) -> Result<bool, StoreError> {
         let duty = app.view().rank_for(self.cell.as_str(), &app.settings.region);
         let now = app.now();
         let lease = app.settings.control.lease.span();
@@ -136,10 +142,10 @@
         let every = if self.held(app) { lease } else { lease / 3 };
         let early = self.looked.is_some_and(|t| now - t < every);
         if duty >= CANDIDATES || early {
-            return Ok(());
+            return Ok(false);
         }
         self.looked = Some(now);
-        let Some(hold) = Hold::take(app, &self.cell).await? else { return Ok(()) };
+        let Some(hold) = Hold::take(app, &self.cell).await? else { return Ok(true) };
         log::info!("control: took cell {} with number {}", self.cell, hold.ledger.number);
         let (number, address) = (hold.ledger.number, app.settings.mesh.listen);
         let found = CellHolder { holder: app.me.clone(), address, number };
@@ -149,7 +155,7 @@
         self.taken = app.now();
         self.hold = Some(hold);
         app.meter.held.inc();
-        Ok(())
+        Ok(true)
     }
 
     /// Whether the holder that was heard of lives: then the store is asked less often.
@@ -165,12 +171,21 @@
     async fn work(&mut self, app: &Arc<App>, hold: &mut Hold) -> Result<(), StoreError> {
         self.settle(app, hold).await?;
         app.meter.frozen.set(self.unsettled.len() as i64);
-        let mut changes = std::mem::take(&mut self.changes);
-        for mut change in changes.drain(..) {
-            if change.step(app, hold).await? {
+        let mut done = Ok(());
+        for mut change in std::mem::take(&mut self.changes) {
+            // A change that meets a failing store goes on later.
+            let going_on = match done.is_ok() {
+                true => change.step(app, hold).await.unwrap_or_else(|error| {
+                    done = Err(error);
+                    true
+                }),
+                false => true,
+            };
+            if going_on {
                 self.changes.push(change);
             }
         }
+        done?;
         if app.settings.hosted.is_some() {
             // An earlier holder's last order may still be under way.
             if app.now() - self.taken >= app.settings.control.lease.span() {
--- a/node/src/control/orders.rs
+++ b/node/src/control/orders.rs
@@ -48,7 +48,11 @@
                 return Ok(Given::Refused);
             }
         };
-        self.save(app).await?;
+        if let Err(error) = self.save(app).await {
+            // Nothing was sent, and it is entered anew with another number.
+            self.ledger.settle(id, number);
+            return Err(error);
+        }
         let meant = Some(Meant { engine: id.clone(), by: app.me.clone(), before });
         let command = Command { number, order, meant };
         let (given, end) = match self.send(app, spec, command).await {
