--- a/node/src/follow/spread/mod.rs
+++ b/node/src/follow/spread/mod.rs
@@ -11,7 +11,7 @@
 /// Batches in each note: one that was lost comes again with the next ones.
 const REPEATED: usize = 4;
 /// Changes in one note at most, so that it fits a datagram; who misses some looks itself.
-const MOST: usize = 24;
+const MOST: usize = 10;
 /// Longest wait of a look for all: each that ends is told, and shows that the store is there.
 pub(super) const WAIT: Duration = Duration::from_millis(400);
 /// Pause between two looks for all.
