--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -126,7 +126,7 @@
 
     fn lose(&mut self, app: &App) {
         log::warn!("control: cell {} is held no more", self.cell);
-        self.changes.clear();
+        self.changes.drain(..).for_each(|change| change.give_up(app));
         self.planners.clear();
         self.balance = None;
         app.meter.held.dec();
--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -73,6 +73,14 @@
         app.view().tell(News::Paused { engine, number, on, role });
     }
 
+    /// Gives the change up without authority: an engine that was not told serves on in its role.
+    /// What became of an order that went out is for the next holder to find.
+    pub(super) fn give_up(&self, app: &App) {
+        if self.step == Step::Emptying {
+            self.tell(app, false, None);
+        }
+    }
+
     /// Takes the change one step on; false when it has ended.
     pub(super) async fn step(
         &mut self,
