--- a/node/src/mesh/datagram.rs
+++ b/node/src/mesh/datagram.rs
@@ -5,7 +5,7 @@
         ids::InstanceId,
         mesh::{Beat, MemberState, Message, News, MAX_DATAGRAM},
     },
-    std::{net::SocketAddr, sync::Arc},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
     tokio::{net::UdpSocket, time::sleep},
 };
 
@@ -18,9 +18,11 @@
 
 /// Beats other members for ever.
 pub async fn beat(app: Arc<App>) {
+    let mut known = BTreeSet::new();
     loop {
         let now = app.now();
         let members = app.view().beat(BEATS, now);
+        tell_changes(&app, &mut known);
         for member in members {
             send_beat(&app, member.address, Some(member.id), true).await;
         }
@@ -28,6 +30,14 @@
     }
 }
 
+/// Logs which instances have come and gone.
+fn tell_changes(app: &App, known: &mut BTreeSet<InstanceId>) {
+    let live: BTreeSet<InstanceId> = app.view().live().map(|m| m.info.id.clone()).collect();
+    live.difference(known).for_each(|id| log::info!("mesh: member={id} lives"));
+    known.difference(&live).for_each(|id| log::info!("mesh: member={id} gone"));
+    *known = live;
+}
+
 /// Beats an instance that only the platform's list knows.
 pub async fn greet(app: &App, address: SocketAddr) {
     send_beat(app, address, None, true).await;
