--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -206,6 +206,7 @@
             return Ok(());
         }
         self.settled = app.now();
+        hold.ledger.forget(|id| specs::spec(app, id).is_none());
         let open: Vec<_> = hold.ledger.unsettled().map(|(id, e)| (id.clone(), e.clone())).collect();
         self.unsettled.clear();
         for (id, entry) in open {
