A target that dies slowly counts as crashed: it is asked again if it takes a connection and answers nothing

Cause: the question whether a target has crashed was put once, and an answer lost while its port was still open counted as alive; besides the stand-in answered as alive until its port closed. Test: targets that die slowly, fails on the code before.

--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -24,10 +24,23 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn poison_takes_at_most_two_targets_and_no_neighbour() {
+    takes_two(Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_takes_at_most_two_targets_that_die_slowly() {
+    takes_two(Duration::from_millis(150)).await;
+}
+
+/// Sends poison where a crashed target's port stays open for a while.
+async fn takes_two(dying: Duration) {
     let engine = EngineSetup { step: Duration::from_millis(10), ..EngineSetup::default() };
     let setup = SiteSetup { engines: vec![engine; 5], ..SiteSetup::default() };
     let site = Site::start(setup).await;
     site.apply(Revision(0)).await;
+    for engine in &site.engines {
+        engine.faults.set(|f| f.dying = dying);
+    }
     let instances = site.instances(3).await;
     let addresses: Vec<SocketAddr> = instances.iter().map(Instance::address).collect();
     let stop = Arc::new(AtomicBool::new(false));
--- a/fakes/src/engine/faults.rs
+++ b/fakes/src/engine/faults.rs
@@ -19,6 +19,8 @@
     pub slow_orders: Duration,
     /// It refuses new runs.
     pub refuse: bool,
+    /// After a crash its port stays open for this long and nothing is answered.
+    pub dying: Duration,
 }
 
 /// What an engine is made of.
--- a/fakes/src/engine/serve.rs
+++ b/fakes/src/engine/serve.rs
@@ -29,7 +29,7 @@
         collections::{HashSet, VecDeque},
         io,
         sync::{
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
             Arc, Mutex, MutexGuard, PoisonError, Weak,
         },
         time::{Duration, Instant},
@@ -62,6 +62,8 @@
     pub hits: (AtomicU64, AtomicU64),
     /// Times that it crashed.
     pub crashes: AtomicU64,
+    /// Whether it has crashed: the port closes a moment later.
+    dead: AtomicBool,
     life: Mutex<Arc<Life>>,
     host: Mutex<Option<Arc<Host>>>,
     me: Weak<Self>,
@@ -121,6 +123,7 @@
             begun: Mutex::default(),
             hits: Default::default(),
             crashes: AtomicU64::new(0),
+            dead: AtomicBool::new(false),
             host: Mutex::default(),
             me: me.clone(),
         });
@@ -166,7 +169,17 @@
     /// Stops at once, with all that it held.
     pub fn crash(&self) {
         self.crashes.fetch_add(1, Ordering::Relaxed);
-        self.host().cut();
+        self.dead.store(true, Ordering::Relaxed);
+        let (host, dying) = (self.host(), self.faults.get().dying);
+        match dying.is_zero() {
+            true => host.cut(),
+            false => {
+                tokio::spawn(async move {
+                    sleep(dying).await;
+                    host.cut();
+                });
+            }
+        }
         self.life().runs.cancel_all();
     }
 
@@ -174,6 +187,7 @@
     pub async fn restart(&self) {
         let boot = self.report().boot.next();
         *locked(&self.life) = Life::new(&self.setup, boot);
+        self.dead.store(false, Ordering::Relaxed);
         if let Some(me) = self.me.upgrade() {
             self.host().put_back(me).await;
         }
@@ -397,6 +411,9 @@
 impl Handler for FakeEngine {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let asked = Asked::read(request).await;
+        if self.dead.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
         let path: Vec<&str> = asked.path.trim_start_matches("/v1/").split('/').collect();
         let faults = self.faults.get();
         match (&asked.method, path.as_slice()) {
--- a/node/src/run/blame.rs
+++ b/node/src/run/blame.rs
@@ -2,9 +2,15 @@
     super::task::{Target, Task},
     crate::{app::App, ports::EngineError},
     lentil_core::{ids::Fingerprint, mesh::News, poison::Crash},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
+/// Questions after which a target that answers none and takes connections is not called crashed.
+const LOOKS: u32 = 3;
+/// Pause between them.
+const AGAIN: Duration = Duration::from_millis(100);
+
 impl Task {
     /// Notes that an engine answered.
     pub(super) fn succeeded(&self, target: &Target) {
@@ -69,9 +75,13 @@
 /// Whether the engine's process is gone or another one stands in its place. A cut connection
 /// alone is not a crash.
 async fn has_crashed(app: &App, target: &Target) -> bool {
-    match app.ports.engines.report(target.address).await {
-        Ok(report) => report.boot != target.boot,
-        Err(EngineError::NotSent(_)) => true,
-        Err(_) => false,
+    for _ in 0..LOOKS {
+        match app.ports.engines.report(target.address).await {
+            Ok(report) => return report.boot != target.boot,
+            Err(EngineError::NotSent(_)) => return true,
+            // A process that dies may still have its port.
+            Err(_) => sleep(AGAIN).await,
+        }
     }
+    false
 }
