--- a/core/src/admit/queue.rs
+++ b/core/src/admit/queue.rs
@@ -30,7 +30,8 @@
 ///
 /// Answers gusts of long prompts: engines read one prompt after the other, so a request that will
 /// be late however it is placed would make others late as well. It steps back behind those that
-/// can be in time, and joins short queues only. What engines hold of it by rank is in `choose`.
+/// can be in time, and joins short queues only. `choose` finds the best engines for the
+/// rank that the work has.
 ///
 /// # Errors
 /// [`ErrorKind::NoCapacity`] with the time after which the queue has room, or what `choose` finds.
--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -15,7 +15,6 @@
 const SPREAD: Duration = Duration::from_secs(1);
 /// Time after which a change is given up that finds its engine never empty.
 const PATIENCE: Duration = Duration::from_secs(60);
-
 /// Time between two looks at an engine that carries out an order.
 const LOOK: Duration = Duration::from_millis(700);
 
@@ -35,6 +34,7 @@
     spec: EngineSpec,
     step: Step,
     since: Time,
+    /// Number of the pause that the instances were told of.
     told: u64,
     looked: Time,
 }
