--- a/fakes/src/engine/serve.rs
+++ b/fakes/src/engine/serve.rs
@@ -174,9 +174,13 @@
         match dying.is_zero() {
             true => host.cut(),
             false => {
+                let me = self.me.clone();
                 tokio::spawn(async move {
                     sleep(dying).await;
-                    host.cut();
+                    // Not the one that has come back meanwhile.
+                    if me.upgrade().is_some_and(|e| e.dead.load(Ordering::Relaxed)) {
+                        host.cut();
+                    }
                 });
             }
         }
