Metrics read each table once and lock the view before the gate

The allowance of resends was read with the gate locked before the view, against the stated lock order; the count of members was taken twice and the fleet locked twice for one scrape.

--- a/node/src/meter/metrics.rs
+++ b/node/src/meter/metrics.rs
@@ -1,4 +1,5 @@
 use {
+    lentil_core::ids::EngineId,
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
         Opts, Registry, TextEncoder,
@@ -70,7 +71,7 @@
     pub resends: IntGauge,
     /// Resident memory of the process in bytes.
     pub memory: IntGauge,
-    named: Mutex<BTreeSet<String>>,
+    named: Mutex<BTreeSet<EngineId>>,
 }
 
 /// Targets with counters of their own: labels take memory, and a scrape must stay short.
@@ -171,24 +172,24 @@
     }
 
     /// Counts how an attempt on a target ended.
-    pub fn answered(&self, target: &str, end: &str) {
+    pub fn answered(&self, target: &EngineId, end: &str) {
         let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
         if !named.contains(target) && named.len() < MAX_TARGETS {
-            named.insert(target.to_owned());
+            named.insert(target.clone());
         }
-        let target = if named.contains(target) { target } else { OTHERS };
+        let target = if named.contains(target) { target.as_str() } else { OTHERS };
         self.answers.with_label_values(&[target, end]).inc();
     }
 
     /// Forgets the counters of targets that are gone.
-    pub fn keep_targets(&self, lives: impl Fn(&str) -> bool) {
+    pub fn keep_targets(&self, lives: impl Fn(&EngineId) -> bool) {
         let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
         named.retain(|target| {
             let keep = lives(target);
             if !keep {
                 for end in ENDS {
                     // There is none for what never came from it.
-                    let _ = self.answers.remove_label_values(&[target, end]);
+                    let _ = self.answers.remove_label_values(&[target.as_str(), end]);
                 }
             }
             keep
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -6,7 +6,7 @@
         http::Body,
     },
     hyper::Response,
-    lentil_core::manifest::Role,
+    lentil_core::{ids::EngineId, manifest::Role},
     std::collections::BTreeSet,
 };
 
@@ -38,20 +38,20 @@
         app.meter.roles.with_label_values(&[&role.to_string()]).set(count);
     }
     let now = app.now();
-    let (known, shut, age) = {
+    let members = app.view().live().count();
+    let (lives, shut, age) = {
         let fleet = app.fleet();
+        let lives: BTreeSet<EngineId> = fleet.engines.iter().map(|e| e.id.clone()).collect();
         let shut = fleet.engines.iter().filter(|e| !e.breaker.allows(now)).count();
-        (fleet.engines.len(), shut, (now - fleet.looked).as_millis())
+        (lives, shut, (now - fleet.looked).as_millis())
     };
-    app.meter.known.set(known as i64);
+    app.meter.known.set(lives.len() as i64);
     app.meter.shut.set(shut as i64);
     app.meter.age.set(age as i64);
-    let lives: BTreeSet<String> =
-        app.fleet().engines.iter().map(|e| e.id.as_str().to_owned()).collect();
     app.meter.keep_targets(|target| lives.contains(target));
-    app.meter.resends.set(app.gate().resends_left(app.view().live().count() as u32 + 1, now));
+    app.meter.resends.set(app.gate().resends_left(members as u32 + 1, now));
     app.meter.memory.set(resident());
-    app.meter.members.set(app.view().live().count() as i64);
+    app.meter.members.set(members as i64);
     app.meter.suspects.set(app.quarantine().len() as i64);
     text(200, app.meter.text())
 }
--- a/node/src/run/blame.rs
+++ b/node/src/run/blame.rs
@@ -14,7 +14,7 @@
 impl Task {
     /// Notes that an engine answered.
     pub(super) fn succeeded(&self, target: &Target) {
-        self.app.meter.answered(target.id.as_str(), "answered");
+        self.app.meter.answered(&target.id, "answered");
         if let Some(engine) = self.app.fleet().engine(&target.id) {
             engine.breaker.succeeded();
         }
@@ -23,7 +23,7 @@
     /// Notes that an engine failed, and whether this request may have crashed it.
     pub(super) async fn note_failure(&self, target: &Target, error: &EngineError) {
         let end = if error.not_run() { "refused" } else { "lost" };
-        self.app.meter.answered(target.id.as_str(), end);
+        self.app.meter.answered(&target.id, end);
         // One lost answer or a short time-out tells little of a target that many requests share:
         // it is shut out after several in a row, or when it has crashed.
         let routed = self.request.routed.is_some();
