One piece for what stood twice: splits, pauses, orders' last step, listening, loads of tests

- Split counts roles and moves one engine for both planners and their tests.
- Pauses are told and taken in one place each; the holder looks at its engines without copying them.
- An order goes out by one function that asks for authority once the connection is there.
- A choice sums up an engine's work once, not three times; the queue by rank covers the whole queue.
- A target's followers listen in one function; members that left need no second filter.
- The two tests that play loads in virtual time share engines and requests; lines say words in one place.

--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -73,9 +73,16 @@
     /// The load expected now, if the engine prefills `rate` tokens per second and each of
     /// `instances` has sent it as much as this one since the report.
     pub fn expected(&self, rate: f64, instances: u32, now: Time) -> Load {
+        self.ahead(Rank::LAST, rate, instances, now)
+    }
+
+    /// The same, of prompts only those that are read before a new request of `rank`.
+    ///
+    /// Engines that are followed by reports don't tell ranks: all prompts count there.
+    pub fn ahead(&self, rank: Rank, rate: f64, instances: u32, now: Time) -> Load {
         if let Some(shared) = &self.shared {
             let held = shared.total(now);
-            return Load { queued: held.tokens.total(), running: held.runs, waiting: 0 };
+            return Load { queued: held.tokens.ahead(rank), running: held.runs, waiting: 0 };
         }
         let mut load = self.report;
         for send in &self.sends {
@@ -88,16 +95,6 @@
         load
     }
 
-    /// Prompt tokens that are expected to be read before those of a new request of `rank`.
-    ///
-    /// Engines that are followed by reports don't tell ranks: all tokens count there.
-    pub fn ahead(&self, rank: Rank, rate: f64, instances: u32, now: Time) -> Tokens {
-        match &self.shared {
-            Some(shared) => shared.total(now).tokens.ahead(rank),
-            None => self.expected(rate, instances, now).queued,
-        }
-    }
-
     /// Whether a report taken at `since` or later shows no work, and nothing was sent after it.
     pub fn idle_since(&self, since: Time) -> bool {
         self.taken >= since && self.report.idle() && self.sends.is_empty()
--- a/core/src/fleet/registration.rs
+++ b/core/src/fleet/registration.rs
@@ -1,8 +1,8 @@
-use crate::{
-    ids::{EngineId, Incarnation, ModelId, Region, Revision, Zone},
-    manifest::Role,
-};
 use {
+    crate::{
+        ids::{EngineId, Incarnation, ModelId, Region, Revision, Zone},
+        manifest::Role,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
--- a/core/src/limit/resend.rs
+++ b/core/src/limit/resend.rs
@@ -48,7 +48,6 @@
     /// assert_eq!(taken, 4);
     /// ```
     pub fn take(&mut self, limit: &ResendLimit, instances: u32, count: u32, now: Time) -> bool {
-        self.slice(limit, now);
         if i64::from(count) > self.left(limit, instances, now) {
             return false;
         }
--- a/core/src/plan/balance.rs
+++ b/core/src/plan/balance.rs
@@ -100,7 +100,7 @@
         if early || now - since < STEADY || away >= room {
             return None;
         }
-        self.mean = self.mean.spread(split, moved(split, role)?);
+        self.mean = self.mean.spread(split, split.moved(role)?);
         self.changed = Some((role, now));
         Some(role)
     }
@@ -112,7 +112,7 @@
             true => Role::Prefill,
             false => Role::Decode,
         };
-        let after = self.mean.spread(split, moved(split, role)?);
+        let after = self.mean.spread(split, split.moved(role)?);
         let full = role == Role::Prefill && after.decode > DECODE_FULL;
         (worse >= BUSY && worse - after.worse() >= GAIN && !full).then_some(role)
     }
@@ -121,13 +121,3 @@
         self.changed.is_none_or(|(last, at)| last == role || now - at >= TURN)
     }
 }
-
-/// The split after one engine took a role; `None` if the other role would have none left.
-fn moved(split: Split, role: Role) -> Option<Split> {
-    let Split { prefill, decode } = split;
-    match role {
-        Role::Prefill if decode > 1 => Some(Split { prefill: prefill + 1, decode: decode - 1 }),
-        Role::Decode if prefill > 1 => Some(Split { prefill: prefill - 1, decode: decode + 1 }),
-        _ => None,
-    }
-}
--- a/core/src/plan/capacity.rs
+++ b/core/src/plan/capacity.rs
@@ -1,6 +1,9 @@
 use {
     super::Demand,
-    crate::{fleet::MIX, manifest::EngineRates},
+    crate::{
+        fleet::MIX,
+        manifest::{EngineRates, Role},
+    },
 };
 
 /// Part of the requests that may miss a target before an engine counts as fully used.
@@ -26,6 +29,36 @@
     pub fn total(self) -> usize {
         self.prefill + self.decode
     }
+
+    /// The split after one engine took a role; `None` if the other role would have none left.
+    ///
+    /// ```
+    /// # use lentil_core::{manifest::Role, plan::Split};
+    /// let split = Split { prefill: 1, decode: 2 };
+    /// assert_eq!(split.moved(Role::Prefill), Some(Split { prefill: 2, decode: 1 }));
+    /// assert_eq!(split.moved(Role::Decode), None);
+    /// ```
+    pub fn moved(self, role: Role) -> Option<Self> {
+        let Self { prefill, decode } = self;
+        match role {
+            Role::Prefill if decode > 1 => Some(Self { prefill: prefill + 1, decode: decode - 1 }),
+            Role::Decode if prefill > 1 => Some(Self { prefill: prefill - 1, decode: decode + 1 }),
+            _ => None,
+        }
+    }
+}
+
+impl FromIterator<Role> for Split {
+    fn from_iter<I: IntoIterator<Item = Role>>(roles: I) -> Self {
+        let mut split = Self { prefill: 0, decode: 0 };
+        for role in roles {
+            match role {
+                Role::Prefill => split.prefill += 1,
+                Role::Decode => split.decode += 1,
+            }
+        }
+        split
+    }
 }
 
 /// Probability that one of `servers` busy to a part `used` makes a request wait (Erlang C).
--- a/core/src/plan/tests.rs
+++ b/core/src/plan/tests.rs
@@ -25,14 +25,6 @@
 
 const SPLIT: Split = Split { prefill: 3, decode: 7 };
 
-/// The split after one engine took a role.
-fn moved(split: Split, role: Role) -> Split {
-    match role {
-        Role::Prefill => Split { prefill: split.prefill + 1, decode: split.decode - 1 },
-        Role::Decode => Split { prefill: split.prefill - 1, decode: split.decode + 1 },
-    }
-}
-
 /// Runs a planner once a second over demands and counts the changes it makes.
 fn follow(weight: f64, demands: impl Iterator<Item = Demand>) -> (Split, u32) {
     let mut planner = Planner::new(ChangeWeight(weight), ChangeCost::default(), Time::ZERO);
@@ -44,7 +36,7 @@
             continue;
         };
         changes += 1;
-        split = moved(split, role);
+        split = split.moved(role).unwrap();
     }
     (split, changes)
 }
@@ -112,7 +104,7 @@
             decode: (decode / split.decode as f64).min(1.0),
         };
         let Some(role) = balance.decide(used, split, 0, now) else { continue };
-        split = moved(split, role);
+        split = split.moved(role).unwrap();
         changes += 1;
     }
     (split, changes)
@@ -154,7 +146,7 @@
         let used = Use { prefill: busy.0, decode: busy.1 };
         if let Some(role) = balance.decide(used, split, 0, now) {
             turned.push((role, step / 10));
-            split = moved(split, role);
+            split = split.moved(role).unwrap();
         }
     }
     let last = turned.iter().rfind(|(r, _)| *r == Role::Prefill).unwrap().1;
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -65,7 +65,12 @@
     now: Time,
 ) -> Cost {
     let rate = engine.prefill_rate();
-    let load = engine.load.expected(rate, place.instances, now);
+    let load = engine.load.ahead(work.rank, rate, place.instances, now);
+    // What is known for certain: this instance's own sends, or those that all have told.
+    let known = match engine.load.shared {
+        Some(_) => load,
+        None => engine.load.expected(rate, 1, now),
+    };
     let (hit, fetch) = match engine.load.shared {
         Some(_) => copies.at(index),
         None => {
@@ -73,9 +78,8 @@
             (Tokens((hit as u64).min(work.prompt.0)), None)
         }
     };
-    let ahead = |instances| engine.load.ahead(work.rank, rate, instances, now);
-    let todo = (ahead(place.instances) + work.prompt - hit).0 as f64;
-    let queue = ahead(1).0 as f64 / rate;
+    let todo = (load.queued + work.prompt - hit).0 as f64;
+    let queue = known.queued.0 as f64 / rate;
     let known = queue + (work.prompt - hit).0 as f64 / rate;
     let way = match () {
         () if engine.region != place.region => OTHER_REGION,
--- a/core/tests/late.rs
+++ b/core/tests/late.rs
@@ -2,22 +2,20 @@
 //! with the decisions that the daemon calls: what callers get if requests that can't be in time
 //! step back, and if they don't.
 
+mod load;
+
 use {
     lentil_core::{
         admit::{join_queue, take_turn, Stay},
         clock::Time,
-        fleet::{CacheIndex, EngineView, Registration},
-        ids::{Incarnation, Millis, PrefixHash, Rank, Tokens},
-        manifest::{ClassSpec, Role},
-        route::{choose, Place, Work},
+        fleet::{CacheIndex, EngineView},
+        ids::{Rank, Tokens},
+        route::{choose, Work},
     },
+    load::{engines, place, work, ENGINES, OBJECTIVE, RATE},
     std::time::Duration,
 };
 
-/// Prompt tokens that an engine reads in a second; what registered engines are taken for at first.
-const RATE: f64 = 30_000.0;
-const ENGINES: usize = 4;
-const OBJECTIVE: f64 = 0.8;
 /// One request in this many has a prompt that takes longer than the objective.
 const HUGE_EACH: u64 = 10;
 const HUGE: u64 = 30_000;
@@ -76,45 +74,9 @@
     }
 }
 
-fn engine(i: usize, role: Role) -> EngineView {
-    EngineView::registered(&Registration {
-        id: format!("{role}-{i}").parse().unwrap(),
-        boot: Incarnation(1),
-        service: "s".parse().unwrap(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        region: "r".parse().unwrap(),
-        zone: "z".parse().unwrap(),
-        role,
-        slots: 64,
-        leaving: false,
-        weights: None,
-    })
-}
-
-fn work(number: u64) -> Work {
-    let prompt = if number % HUGE_EACH == 3 { HUGE } else { USUAL };
-    let first = Millis((OBJECTIVE * 1e3) as u64);
-    Work {
-        model: "s".parse().unwrap(),
-        adapter: None,
-        prompt: Tokens(prompt),
-        output: Tokens(20),
-        blocks: [PrefixHash(number)].into_iter().collect(),
-        lengths: [prompt as u32].into_iter().collect(),
-        avoid: Default::default(),
-        class: ClassSpec { first, between: Millis(300), deadline: Millis(6_000), priority: 8 },
-        rank: Rank::new(1),
-    }
-}
-
 /// Plays gusts of two seconds with twice what the engines read, and as long with half of it.
 fn play(step_back: bool) -> Outcome {
-    let mut engines: Vec<EngineView> = (0..ENGINES).map(|i| engine(i, Role::Prefill)).collect();
-    engines.extend((0..ENGINES).map(|i| engine(i, Role::Decode)));
-    for decode in &mut engines[ENGINES..] {
-        let streams = decode.load.shared.as_mut().unwrap();
-        (0..40).for_each(|_| streams.began(Tokens(0), Rank::FIRST));
-    }
+    let mut engines = engines();
     let mut readers: Vec<Reader> = (0..ENGINES).map(|_| Reader::default()).collect();
     let cache = CacheIndex::default();
     let mean = (USUAL * (HUGE_EACH - 1) + HUGE) as f64 / HUGE_EACH as f64;
@@ -127,7 +89,7 @@
                 let shared = engines[i].load.shared.as_mut().unwrap();
                 shared.ended(Tokens(waiting.prompt), waiting.rank);
                 // The way to the first piece is short beside the prompt's.
-                match end - waiting.arrived <= OBJECTIVE {
+                match end - waiting.arrived <= OBJECTIVE as f64 / 1e3 {
                     true => o.in_time += 1,
                     false => o.late += 1,
                 }
@@ -142,13 +104,8 @@
             note(reader.until(at), i, &mut engines, &mut outcome);
         }
         let now = Time::from_secs_f64(at);
-        let place = Place {
-            region: "r".parse().unwrap(),
-            zone: "z".parse().unwrap(),
-            instances: 1,
-            salt: number,
-        };
-        let mut work = work(number);
+        let prompt = if number % HUGE_EACH == 3 { HUGE } else { USUAL };
+        let (place, mut work) = (place(number), work(number, prompt, Rank::new(1)));
         outcome.huge += usize::from(work.prompt == Tokens(HUGE));
         let left = Duration::from_secs(6);
         let chosen = |w: &Work| choose(&engines, &cache, w, &place, now);
--- a/core/tests/overload.rs
+++ b/core/tests/overload.rs
@@ -1,26 +1,24 @@
 //! Load above what the engines carry, played in virtual time with the decisions that the daemon
 //! calls: what callers get with and without early refusal.
 
+mod load;
+
 use {
     lentil_core::{
         admit::join_queue,
         clock::Time,
-        fleet::{CacheIndex, EngineView, Registration},
-        ids::{Incarnation, Millis, PrefixHash, Rank, Tokens},
-        manifest::{ClassSpec, Role},
-        route::{choose, Place, Work},
+        fleet::CacheIndex,
+        ids::{Rank, Tokens},
+        route::choose,
     },
+    load::{engines, place, work, ENGINES, RATE},
     std::{collections::BinaryHeap, time::Duration},
 };
 
-/// Prompt tokens of a request, and those that an engine reads in a second.
+/// Prompt tokens of a request.
 const PROMPT: u64 = 4_000;
-const RATE: f64 = 30_000.0;
-const ENGINES: usize = 4;
 /// Requests that the prefilling engines carry in a second.
 const CAPACITY: f64 = ENGINES as f64 * RATE / PROMPT as f64;
-/// Streams on each decoding engine.
-const STREAMS: usize = 40;
 /// Length of the load.
 const LENGTH: f64 = 10.0;
 
@@ -33,44 +31,9 @@
     longest: f64,
 }
 
-fn engine(i: usize, role: Role) -> EngineView {
-    EngineView::registered(&Registration {
-        id: format!("{role}-{i}").parse().unwrap(),
-        boot: Incarnation(1),
-        service: "s".parse().unwrap(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        region: "r".parse().unwrap(),
-        zone: "z".parse().unwrap(),
-        role,
-        slots: 64,
-        leaving: false,
-        weights: None,
-    })
-}
-
-fn work(number: u64) -> Work {
-    let first = Millis(800);
-    Work {
-        model: "s".parse().unwrap(),
-        adapter: None,
-        prompt: Tokens(PROMPT),
-        output: Tokens(20),
-        blocks: [PrefixHash(number)].into_iter().collect(),
-        lengths: [PROMPT as u32].into_iter().collect(),
-        avoid: Default::default(),
-        class: ClassSpec { first, between: Millis(300), deadline: Millis(6_000), priority: 1 },
-        rank: Rank::FIRST,
-    }
-}
-
 /// Plays `load` times the capacity; each engine reads one prompt after another.
 fn play(load: f64, admission: bool) -> Outcome {
-    let mut engines: Vec<EngineView> = (0..ENGINES).map(|i| engine(i, Role::Prefill)).collect();
-    engines.extend((0..ENGINES).map(|i| engine(i, Role::Decode)));
-    for decode in &mut engines[ENGINES..] {
-        let streams = decode.load.shared.as_mut().unwrap();
-        (0..STREAMS).for_each(|_| streams.began(Tokens(0), Rank::FIRST));
-    }
+    let mut engines = engines();
     let cache = CacheIndex::default();
     let mut free = [0.0_f64; ENGINES];
     let mut ends: BinaryHeap<(std::cmp::Reverse<u64>, usize)> = BinaryHeap::new();
@@ -83,13 +46,7 @@
             let (_, i) = ends.pop().unwrap();
             engines[i].load.shared.as_mut().unwrap().ended(Tokens(PROMPT), Rank::FIRST);
         }
-        let place = Place {
-            region: "r".parse().unwrap(),
-            zone: "z".parse().unwrap(),
-            instances: 1,
-            salt: number,
-        };
-        let work = work(number);
+        let (place, work) = (place(number), work(number, PROMPT, Rank::FIRST));
         let pick = choose(&engines, &cache, &work, &place, now).unwrap();
         let left = Duration::from_millis(6_000);
         if admission && join_queue(&work.class, &pick, left).is_err() {
--- a/ctl/src/logs/line.rs
+++ b/ctl/src/logs/line.rs
@@ -53,6 +53,11 @@
         self.message.split(':').next().unwrap_or("")
     }
 
+    /// Whether a word stands in the message.
+    pub fn says(&self, word: &str) -> bool {
+        self.message.split(' ').any(|w| w == word)
+    }
+
     /// The value of a field, without its quotes.
     pub fn field(&self, name: &str) -> Option<&str> {
         let mut rest = self.message.as_str();
--- a/ctl/src/queries/burn.rs
+++ b/ctl/src/queries/burn.rs
@@ -31,14 +31,13 @@
         if line.part() != "run" {
             return None;
         }
-        let says = |word: &str| line.message.split(' ').any(|w| w == word);
-        if says("left") {
+        if line.says("left") {
             return Some(Self::Left);
         }
-        if says("cut") {
+        if line.says("cut") {
             return Some(Self::Failed);
         }
-        if says("given_up") {
+        if line.says("given_up") {
             let sent = line.number("sends").unwrap_or(0) > 0;
             return Some(if sent { Self::Failed } else { Self::Refused });
         }
--- a/ctl/src/queries/explain.rs
+++ b/ctl/src/queries/explain.rs
@@ -78,14 +78,13 @@
         return format!("answered {status} by the instance: {why}");
     }
     let Some(line) = own.iter().rfind(|l| l.part() == "run") else { return "not known".into() };
-    let says = |word: &str| line.message.split(' ').any(|w| w == word);
     match () {
-        () if says("cut") => {
+        () if line.says("cut") => {
             let why = line.field("why").unwrap_or("");
             let kind = why.split(':').next().and_then(meaning);
             format!("broke off after {} events: {}", events(line), kind.unwrap_or(why))
         }
-        () if says("left") => format!("the caller left after {} events", events(line)),
+        () if line.says("left") => format!("the caller left after {} events", events(line)),
         () => match line.field("status") {
             Some(status) if line.field("late") == Some("yes") => {
                 format!("answered {status} by a target, later than its objective")
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -10,7 +10,7 @@
         FutureExt,
     },
     http_body_util::BodyExt,
-    hyper::{body::Incoming, Method, Request},
+    hyper::{body::Incoming, Method, Request, Response},
     lentil_core::{
         fleet::CacheEvent,
         ids::{Fence, RunId},
@@ -38,6 +38,24 @@
     pub fence: Fence,
 }
 
+/// Sends an order if authority still holds once the connection is there; waits at most `connect`
+/// for that and `answer` for the head of the answer.
+///
+/// # Errors
+/// [`EngineError::NoAuthority`] if nothing was sent for want of it, or why no answer came.
+pub async fn send_order(
+    at: SocketAddr,
+    request: Request<Body>,
+    authority: Authority<'_>,
+    [connect, answer]: [Duration; 2],
+) -> Result<Response<Incoming>, EngineError> {
+    let connection = Connection::open(at, connect).await?;
+    if !authority() {
+        return Err(EngineError::NoAuthority);
+    }
+    Ok(connection.send(request, answer).await?)
+}
+
 /// Engines over HTTP.
 pub struct HttpEngine {
     limit: Duration,
@@ -192,11 +210,7 @@
     ) -> BoxFuture<'a, Result<(), EngineError>> {
         async move {
             let request = json_request(Method::POST, at, "/v1/orders", &command);
-            let connection = Connection::open(at, CONNECT).await.map_err(EngineError::from)?;
-            if !authority() {
-                return Err(EngineError::NoAuthority);
-            }
-            let response = connection.send(request, self.order).await.map_err(EngineError::from)?;
+            let response = send_order(at, request, authority, [CONNECT, self.order]).await?;
             let status = response.status().as_u16();
             let body = timeout(self.order, read_all(response.into_body(), MAX_LINE))
                 .await
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -172,6 +172,21 @@
         true
     }
 
+    /// Notes the same with the role that the engine has since its order, if that is told.
+    pub fn take_pause(
+        &mut self,
+        id: &EngineId,
+        (number, on): (u64, bool),
+        role: Option<Role>,
+        now: Time,
+    ) -> bool {
+        let fresh = self.pause(id, number, on, now);
+        if let Some((engine, role)) = self.engine(id).zip(role.filter(|_| fresh)) {
+            engine.role = role;
+        }
+        fresh
+    }
+
     /// Number of the latest pause of an engine, if it is paused.
     pub fn paused(&self, id: &EngineId) -> Option<u64> {
         self.pauses.get(id).filter(|p| p.on).map(|p| p.number)
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         cell::Controller,
-        change::Change,
+        change::{tell_pause, Change},
         specs::{cell_of, registered},
     },
     crate::app::{App, Fleet},
@@ -10,7 +10,6 @@
         fleet::EngineView,
         ids::{CellId, EngineId},
         manifest::Role,
-        mesh::News,
         order::Order,
         plan::{Balance, Split, Use},
     },
@@ -24,18 +23,26 @@
     /// Decides on one role change among the registered engines of this cell.
     pub(super) fn balance(&mut self, app: &App) {
         let now = app.now();
-        let (engines, paused) = of_cell(&app.fleet(), &self.cell);
-        self.end_pauses(app, &paused, now);
-        let changing = |e: &EngineView| self.changes.iter().any(|c| c.engine == e.id);
-        let serving: Vec<&EngineView> =
-            engines.iter().filter(|e| !e.leaving && !changing(e)).collect();
-        let split = self.intended(&serving);
+        self.end_pauses(app);
+        let picked = self.pick(&app.fleet(), now);
+        let Some((engine, role)) = picked else { return };
+        let spec = registered(&engine);
+        self.changes.push(Change::begin(app, engine.id, spec, Order::Role(role)));
+    }
+
+    /// The engine that should change to a role now, if any.
+    fn pick(&mut self, fleet: &Fleet, now: Time) -> Option<(EngineView, Role)> {
+        let serving =
+            |e: &&EngineView| !e.leaving && !self.changes.iter().any(|c| c.engine == e.id);
+        let serving: Vec<&EngineView> = of_cell(fleet, &self.cell).filter(serving).collect();
+        let goals = self.changes.iter().filter_map(Change::goal);
+        let split: Split = serving.iter().map(|e| e.role).chain(goals).collect();
         let used = used(&serving, now);
         let balance = self.balance.get_or_insert_with(|| Balance::new(now));
-        let Some(role) = balance.decide(used, split, self.changes.len(), now) else { return };
+        let role = balance.decide(used, split, self.changes.len(), now)?;
         let mean = balance.mean();
         let free = |e: &&&EngineView| e.role != role && !self.unsettled.contains(&e.id);
-        let Some(engine) = serving.iter().filter(free).min_by_key(|e| load(e, now)) else { return };
+        let engine = serving.iter().filter(free).min_by_key(|e| load(e, now))?;
         log::info!(
             "control: cell={} engine={} to={role} prefilling={} decoding={} prefill_use={:.2} decode_use={:.2}",
             self.cell,
@@ -45,48 +52,30 @@
             mean.prefill,
             mean.decode,
         );
-        let change = Change::begin(app, engine.id.clone(), registered(engine), Order::Role(role));
-        self.changes.push(change);
-    }
-
-    /// Engines by the role that they have or change to.
-    fn intended(&self, serving: &[&EngineView]) -> Split {
-        let goals = self.changes.iter().filter_map(Change::goal);
-        let roles = serving.iter().map(|e| e.role).chain(goals);
-        let mut split = Split { prefill: 0, decode: 0 };
-        for role in roles {
-            match role {
-                Role::Prefill => split.prefill += 1,
-                Role::Decode => split.decode += 1,
-            }
-        }
-        split
+        Some(((*engine).clone(), role))
     }
 
     /// Ends pauses that an earlier holder left behind.
-    fn end_pauses(&self, app: &App, paused: &[(EngineId, u64)], now: Time) {
-        for (engine, number) in paused {
-            if self.changes.iter().any(|c| c.engine == *engine) {
-                continue;
-            }
+    fn end_pauses(&self, app: &App) {
+        let mine = |id: &EngineId| self.changes.iter().any(|c| c.engine == *id);
+        let left: Vec<(EngineId, u64)> = {
+            let fleet = app.fleet();
+            let paused = of_cell(&fleet, &self.cell).filter(|e| !mine(&e.id));
+            paused.filter_map(|e| Some((e.id.clone(), fleet.paused(&e.id)?))).collect()
+        };
+        for (engine, number) in left {
             log::info!(
                 "control: cell={} engine={engine} pause of an earlier holder ends",
                 self.cell
             );
-            app.fleet().pause(engine, *number, false, now);
-            let (engine, number) = (engine.clone(), *number);
-            app.view().tell(News::Paused { engine, number, on: false, role: None });
+            tell_pause(app, &engine, (number, false), None);
         }
     }
 }
 
-/// Engines of a cell, and the numbers of the pauses of those that are paused.
-fn of_cell(fleet: &Fleet, cell: &CellId) -> (Vec<EngineView>, Vec<(EngineId, u64)>) {
-    let engines: Vec<EngineView> =
-        fleet.engines.iter().filter(|e| cell_of(e) == *cell).cloned().collect();
-    let paused =
-        engines.iter().filter_map(|e| fleet.paused(&e.id).map(|n| (e.id.clone(), n))).collect();
-    (engines, paused)
+/// Engines of a cell.
+fn of_cell<'a>(fleet: &'a Fleet, cell: &'a CellId) -> impl Iterator<Item = &'a EngineView> {
+    fleet.engines.iter().filter(|e| cell_of(e) == *cell)
 }
 
 /// How far the engines are used now.
--- a/node/src/control/cell.rs
+++ b/node/src/control/cell.rs
@@ -261,19 +261,12 @@
 
     /// Engines by the role that they have or change to.
     fn split(&self, index: &ManifestIndex, model: &ModelId, mine: &[&Seen]) -> Split {
-        let prefill = mine.iter().filter(|s| s.report.role == Role::Prefill).count();
-        let mut split = Split { prefill, decode: mine.len() - prefill };
-        for change in &self.changes {
-            let spec = index.manifest.engines.get(&change.engine);
-            if spec.is_none_or(|s| s.model != *model) {
-                continue;
-            }
-            match change.goal() {
-                Some(Role::Prefill) => split.prefill += 1,
-                Some(Role::Decode) | None => split.decode += 1,
-            }
-        }
-        split
+        let known = |c: &&Change| {
+            let spec = index.manifest.engines.get(&c.engine);
+            spec.is_some_and(|s| s.model == *model)
+        };
+        let goals = self.changes.iter().filter(known).map(|c| c.goal().unwrap_or_default());
+        mine.iter().map(|s| s.report.role).chain(goals).collect()
     }
 
     /// The engine of a role with the least to do.
--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -39,6 +39,21 @@
     looked: Time,
 }
 
+/// Tells every instance that an engine is paused, or in service again, perhaps in a new role.
+pub(super) fn tell_pause(
+    app: &App,
+    engine: &EngineId,
+    (number, on): (u64, bool),
+    role: Option<Role>,
+) {
+    let now = app.now();
+    let mut fleet = app.fleet();
+    fleet.take_pause(engine, (number, on), role, now);
+    fleet.refresh(now);
+    drop(fleet);
+    app.view().tell(News::Paused { engine: engine.clone(), number, on, role });
+}
+
 impl Change {
     /// Begins by telling every instance to send the engine no new work.
     pub(super) fn begin(app: &App, engine: EngineId, spec: EngineSpec, order: Order) -> Self {
@@ -59,18 +74,8 @@
         }
     }
 
-    /// Tells every instance that the engine is paused, or in service again, perhaps in a new role.
     fn tell(&self, app: &App, on: bool, role: Option<Role>) {
-        let (engine, number) = (self.engine.clone(), self.told);
-        let now = app.now();
-        let mut fleet = app.fleet();
-        fleet.pause(&engine, number, on, now);
-        if let Some((engine, role)) = fleet.engine(&engine).zip(role) {
-            engine.role = role;
-        }
-        fleet.refresh(now);
-        drop(fleet);
-        app.view().tell(News::Paused { engine, number, on, role });
+        tell_pause(app, &self.engine, (self.told, on), role);
     }
 
     /// Gives the change up without authority: an engine that was not told serves on in its role.
--- a/node/src/follow/spread/mod.rs
+++ b/node/src/follow/spread/mod.rs
@@ -1,10 +1,6 @@
 use {
     crate::{app::App, mesh::send},
-    lentil_core::{
-        fleet::TargetBatch,
-        ids::Revision,
-        mesh::{MemberState, Message},
-    },
+    lentil_core::{fleet::TargetBatch, ids::Revision, mesh::Message},
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -61,8 +57,7 @@
         let peers: Vec<_> = {
             let view = app.view();
             let here = view.live().filter(|m| m.info.region == *region);
-            let lives = here.filter(|m| m.state != MemberState::Left);
-            lives.map(|m| (m.info.address, m.info.id.clone())).collect()
+            here.map(|m| (m.info.address, m.info.id.clone())).collect()
         };
         let batches: Vec<TargetBatch> = self.recent.iter().cloned().collect();
         for (address, id) in peers {
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -16,7 +16,10 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
 };
 
 /// Part of the time within which leaving targets must be known that passes between two looks:
@@ -44,10 +47,7 @@
     loop {
         let for_all = spread::looks_for_all(&app);
         if let Some(left) = follower.covered(app.now()).filter(|_| !for_all) {
-            if let Ok(Ok(())) = timeout(left, told.changed()).await {
-                let batches = told.borrow_and_update().clone();
-                follower.hear(&app, &batches);
-            }
+            follower.listen(&app, &mut told, left).await;
             continue;
         }
         let (wait, pace) = match for_all {
@@ -61,9 +61,8 @@
                 if for_all {
                     follower.spread.tell(&app).await;
                     sleep(pause).await;
-                } else if let Ok(Ok(())) = timeout(pause, told.changed()).await {
-                    let batches = told.borrow_and_update().clone();
-                    follower.hear(&app, &batches);
+                } else {
+                    follower.listen(&app, &mut told, pause).await;
                 }
             }
             Err(error) => {
@@ -74,6 +73,9 @@
     }
 }
 
+/// The latest changes that another instance told.
+type Told = watch::Receiver<Arc<Vec<TargetBatch>>>;
+
 /// What is known of the directory's state.
 #[derive(Default)]
 struct Follower {
@@ -97,6 +99,14 @@
         current.then(|| self.at_most(at - now, now))
     }
 
+    /// Waits for what another instance tells.
+    async fn listen(&mut self, app: &App, told: &mut Told, time: Duration) {
+        if let Ok(Ok(())) = timeout(time, told.changed()).await {
+            let batches = told.borrow_and_update().clone();
+            self.hear(app, &batches);
+        }
+    }
+
     /// Takes in what another instance read.
     fn hear(&mut self, app: &App, batches: &[TargetBatch]) {
         let Some(at) = self.at else { return };
--- a/node/src/mesh/handle.rs
+++ b/node/src/mesh/handle.rs
@@ -81,12 +81,7 @@
             known.map(|e| e.leaving = true).is_some()
         }
         News::Paused { engine, number, on, role } => {
-            let mut fleet = app.fleet();
-            let fresh = fleet.pause(engine, *number, *on, now);
-            if let Some((engine, role)) = fleet.engine(engine).zip(role.filter(|_| fresh)) {
-                engine.role = role;
-            }
-            fresh
+            app.fleet().take_pause(engine, (*number, *on), *role, now)
         }
         News::Holds { cell, holder, address, number } => {
             let found = CellHolder { holder: holder.clone(), address: *address, number: *number };
