Crash investigations: verdict in logs and metrics, quarantined requests, dropped updates

Each investigation now logs its verdict and the request's fingerprint, which the failed-at line names too; counters for verdicts, quarantined fingerprints and dropped updates. No decision is changed.

--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -53,6 +53,7 @@
     timing: DetectorTiming,
     members: BTreeMap<InstanceId, Member>,
     updates: Vec<(Update, u32)>,
+    dropped: u64,
     next_member: u64,
     periods: u64,
 }
@@ -65,6 +66,7 @@
             timing,
             members: BTreeMap::new(),
             updates: Vec::new(),
+            dropped: 0,
             next_member: 0,
             periods: 0,
         }
@@ -178,9 +180,15 @@
         self.updates.push((update, UPDATE_SENDS));
         if self.updates.len() > MAX_PENDING_UPDATES {
             self.updates.remove(0);
+            self.dropped += 1;
         }
     }
 
+    /// Returns the number of updates dropped so far because too many were waiting.
+    pub fn dropped_updates(&self) -> u64 {
+        self.dropped
+    }
+
     /// Returns at most `count` updates for one heartbeat, those sent least often first.
     pub fn take_updates(&mut self, count: usize) -> Vec<Update> {
         self.updates.sort_by_key(|(_, left)| std::cmp::Reverse(*left));
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -75,7 +75,14 @@
             false
         }
         Update::Crashed { fingerprint, crash } => {
-            app.quarantine().record_crash(*fingerprint, crash.clone(), now)
+            let is_new = app.quarantine().record_crash(*fingerprint, crash.clone(), now);
+            if is_new {
+                log::info!(
+                    "poison: target={} verdict=reported request={fingerprint}",
+                    crash.engine
+                );
+            }
+            is_new
         }
         Update::Leaving { engine, boot } => {
             let mut fleet = app.fleet();
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -51,6 +51,12 @@
     pub revision: IntGauge,
     /// Request fingerprints that crashed targets.
     pub suspects: IntGauge,
+    /// Request fingerprints in quarantine.
+    pub quarantined: IntGauge,
+    /// Investigations of targets that lost an answer, by verdict.
+    pub crash_checks: IntCounterVec,
+    /// Updates for other instances that were dropped because too many were waiting.
+    pub dropped_updates: IntGauge,
     /// Targets registered in the directory.
     pub known_targets: IntGauge,
     /// Targets with an open circuit breaker, which get no requests.
@@ -144,6 +150,16 @@
             claims: counters("lentil_claims_total", "Claims of run-once requests", &["end"]),
             revision: gauge("lentil_manifest_revision", "Revision of the manifest in force"),
             suspects: gauge("lentil_suspects", "Fingerprints that crashed targets"),
+            quarantined: gauge("lentil_quarantined", "Fingerprints that no target may run"),
+            crash_checks: counters(
+                "lentil_crash_checks_total",
+                "Investigations of targets that lost an answer",
+                &["verdict"],
+            ),
+            dropped_updates: gauge(
+                "lentil_mesh_updates_dropped",
+                "Updates dropped before they were sent to enough instances",
+            ),
             known_targets: gauge("lentil_targets_known", "Targets that the directory names"),
             ejected_targets: gauge(
                 "lentil_targets_shut_out",
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -39,7 +39,10 @@
         app.metrics.roles.with_label_values(&[&role.to_string()]).set(count);
     }
     let now = app.now();
-    let members = app.member_view().live().count();
+    let (members, dropped) = {
+        let view = app.member_view();
+        (view.live().count(), view.dropped_updates())
+    };
     let (known, ejected, age) = {
         let fleet = app.fleet();
         let known: BTreeSet<EngineId> = fleet.engines.iter().map(|e| e.id.clone()).collect();
@@ -53,6 +56,12 @@
     app.metrics.resends_left.set(app.admission().resends_left(members as u32 + 1, now));
     app.metrics.resident_bytes.set(resident_bytes());
     app.metrics.members.set(members as i64);
-    app.metrics.suspects.set(app.quarantine().len() as i64);
+    let (suspects, quarantined) = {
+        let quarantine = app.quarantine();
+        (quarantine.len(), quarantine.quarantined())
+    };
+    app.metrics.suspects.set(suspects as i64);
+    app.metrics.quarantined.set(quarantined as i64);
+    app.metrics.dropped_updates.set(dropped as i64);
     text_response(200, app.metrics.encode())
 }
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -353,7 +353,8 @@
         let (begun, sends) = (self.task.maybe_ran, self.task.runs_sent);
         let at = &target.id;
         log::info!(
-            "run: id={id} failed at={at} begun={begun} sends={sends} error={error:?}",
+            "run: id={id} failed at={at} begun={begun} sends={sends} request={} error={error:?}",
+            self.task.request.fingerprint,
             error = error.to_string()
         );
         Fault::new(kind, format!("engine {:?}: {error}", target.id.as_str()))
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -62,7 +62,16 @@
 
 /// Finds out whether a target that lost an answer has crashed, and reports the crash if so.
 async fn investigate(app: &Arc<App>, fingerprint: Fingerprint, target: &Target) {
-    if !has_crashed(app, target).await {
+    let began = app.now();
+    let verdict = find_verdict(app, target).await;
+    app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
+    log::info!(
+        "poison: target={} verdict={} request={fingerprint} ms={}",
+        target.id,
+        verdict.label(),
+        (app.now() - began).as_millis()
+    );
+    if verdict != Verdict::Crashed {
         return;
     }
     update_breaker(app, target, false, "it has crashed");
@@ -74,16 +83,37 @@
     }
 }
 
-/// Returns whether the engine's process is gone or was replaced by another. A broken connection
+/// Result of the investigation of a target that lost an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// The same process answers.
+    Alive,
+    /// The process is gone or was replaced by another.
+    Crashed,
+    /// The target answers no probe.
+    Silent,
+}
+
+impl Verdict {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Crashed => "crashed",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// Finds out whether the engine's process is gone or was replaced by another. A broken connection
 /// alone is not a crash.
-async fn has_crashed(app: &App, target: &Target) -> bool {
+async fn find_verdict(app: &App, target: &Target) -> Verdict {
     for _ in 0..CRASH_PROBES {
         match app.ports.engines.report(target.address).await {
-            Ok(report) => return report.boot != target.boot,
-            Err(EngineError::NotSent(_)) => return true,
+            Ok(report) if report.boot == target.boot => return Verdict::Alive,
+            Ok(_) | Err(EngineError::NotSent(_)) => return Verdict::Crashed,
             // The port of a dying process may stay open for a while.
             Err(_) => sleep(CRASH_PROBE_INTERVAL).await,
         }
     }
-    false
+    Verdict::Silent
 }
