Suspects of two instances no longer share an engine when their views differ

What callers saw: a harmless request was answered as quarantined. Both poison tests failed now and then with "not within a minute: all instances know".

Cause: each instance runs its suspects on its own part of the engines, but cut the parts from the engines that it saw as available. As soon as one instance has noticed a dead engine and another has not, the parts shift and overlap: the poison and the bystander, retried by two instances, met on a second engine and were both blamed for its crash. The rank counted alive members only, while the number of parts counted suspected ones too.

Fix: the parts are cut from what instances share: the engines that serve the model, without those recently crashed by a suspect. What an instance sees of an engine only decides within its part; it uses other parts if its own is empty or has accepted nothing for a second. The quarantine's lock was held through the whole choice, against the lock order; no more.

--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -257,9 +257,18 @@
     /// Returns the rank of this instance for a duty among the alive instances of `region`, ordered
     /// by the hash of duty and name: 0 is the first.
     pub fn rank_for(&self, duty: &str, region: &Region) -> usize {
+        self.rank_if(duty, region, |m| m.state == MemberState::Alive)
+    }
+
+    /// Like [`rank_for`](Self::rank_for), among the instances that [`live`](Self::live) returns.
+    pub fn rank_among_live(&self, duty: &str, region: &Region) -> usize {
+        self.rank_if(duty, region, |_| true)
+    }
+
+    fn rank_if(&self, duty: &str, region: &Region, counts: impl Fn(&Member) -> bool) -> usize {
         let own = hash_with(duty, &self.me.id);
         self.live()
-            .filter(|m| m.state == MemberState::Alive && m.info.region == *region)
+            .filter(|m| m.info.region == *region && counts(m))
             .filter(|m| hash_with(duty, &m.info.id) < own)
             .count()
     }
--- a/core/src/poison/mod.rs
+++ b/core/src/poison/mod.rs
@@ -1,9 +1,10 @@
 //! Quarantine of requests that crash the targets that run them.
 
 mod fingerprint;
+mod isolation;
 mod quarantine;
 
-pub use quarantine::*;
+pub use {isolation::*, quarantine::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -5,7 +5,10 @@
     },
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 /// Number of target crashes after which a fingerprint is quarantined.
@@ -15,6 +18,10 @@
 /// Time after its last crash for which a fingerprint is restricted.
 pub const SUSPECT_RETENTION: Duration = Duration::from_secs(3_600);
 
+/// Time after a crash for which no suspects are sent to the target. It is longer than a suspect
+/// that the crash left behind waits for its next run.
+const CRASHED_TARGET_REST: Duration = Duration::from_secs(30);
+
 /// One crash of a target while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Crash {
@@ -84,6 +91,12 @@
         }
     }
 
+    /// Returns the targets that suspects have crashed within the last 30 seconds.
+    pub fn recently_crashed(&self, now: Time) -> BTreeSet<EngineId> {
+        let recent = self.suspects.values().filter(|s| now - s.last_crash < CRASHED_TARGET_REST);
+        recent.flat_map(|s| s.crashes.iter().map(|c| c.engine.clone())).collect()
+    }
+
     /// Returns the number of quarantined fingerprints.
     pub fn quarantined(&self) -> usize {
         self.suspects.values().filter(|s| s.crashes.len() >= MAX_LOST_TARGETS).count()
--- a/core/src/poison/tests.rs
+++ b/core/src/poison/tests.rs
@@ -2,7 +2,7 @@
     super::*,
     crate::{
         clock::Time,
-        ids::{Fingerprint, Incarnation},
+        ids::{EngineId, Fingerprint, Incarnation},
     },
 };
 
@@ -59,3 +59,28 @@
     assert_eq!(quarantine.len(), MAX_SUSPECTS);
     assert_eq!(quarantine.permission(Fingerprint(0), Time::ZERO), RunPermission::Clear);
 }
+
+#[test]
+fn isolation_parts_are_disjoint_whatever_order_the_engines_come_in() {
+    let mut engines: Vec<EngineId> = (0..7).map(|i| format!("e{i}").parse().unwrap()).collect();
+    let mut seen = Vec::new();
+    for rank in 0..3 {
+        engines.rotate_left(2);
+        seen.extend(isolation_part(engines.iter(), rank, 3));
+    }
+    seen.sort_unstable();
+    engines.sort_unstable();
+    assert_eq!(seen, engines);
+    assert!(isolation_part(engines.iter(), 8, 9).is_empty());
+}
+
+#[test]
+fn recently_crashed_names_the_targets_of_all_suspects_for_a_while() {
+    let at = Time::from_millis;
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(FINGERPRINT, crash("a", 1), at(0));
+    quarantine.record_crash(Fingerprint(2), crash("b", 1), at(10_000));
+    assert_eq!(quarantine.recently_crashed(at(20_000)).len(), 2);
+    let later = quarantine.recently_crashed(at(35_000));
+    assert_eq!(later.into_iter().collect::<Vec<_>>(), ["b".parse().unwrap()]);
+}
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -2,7 +2,10 @@
 //! be quarantined before it crashes more than two targets.
 
 use {
-    lentil_core::ids::Revision,
+    lentil_core::{
+        ids::{Fingerprint, Incarnation, Revision},
+        poison::Crash,
+    },
     lentil_fakes::{
         client::{CallOutcome, Caller, CompletionRequest},
         deployment::{eventually, Deployment, DeploymentSetup, Instance, CAMERA_KEY},
@@ -98,3 +101,47 @@
     }
     tasks.join_all().await
 }
+
+/// Fingerprint of a [`completion`] of `text`.
+fn fingerprint(text: &str) -> Fingerprint {
+    Fingerprint::of(&[b"vuurbol-groot", b"", text.as_bytes(), &40_u32.to_le_bytes()])
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn suspects_of_two_instances_share_no_engine_if_one_sees_an_engine_as_down() {
+    let engine =
+        EngineSetup { token_interval: Duration::from_millis(10), ..EngineSetup::default() };
+    let setup = DeploymentSetup { engines: vec![engine; 4], ..DeploymentSetup::default() };
+    let deployment = Deployment::start(setup).await;
+    deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
+    let seen = apps.clone();
+    let all_seen = move || seen.iter().all(|a| a.member_view().live().count() == 1);
+    eventually("the instances know each other", all_seen).await;
+    for case in 0..8 {
+        let (viewer, engine) = (case % 2, format!("e{}", case / 2));
+        let mut calls = JoinSet::new();
+        for (i, instance) in instances.iter().enumerate() {
+            let text = format!("suspect {case} of {i}");
+            let crash = Crash { engine: "e9".parse().unwrap(), boot: Incarnation(1) };
+            instance.app.quarantine().record_crash(fingerprint(&text), crash, instance.app.now());
+            let address = instance.address();
+            if i == viewer {
+                let now = instance.app.now();
+                let mut fleet = instance.app.fleet();
+                fleet.engine(&engine.parse().unwrap()).unwrap().breaker.trip(now);
+            }
+            calls.spawn(async move {
+                Caller::new(CAMERA_KEY).complete(address, &completion(text, false)).await.unwrap()
+            });
+        }
+        let both = || apps.iter().all(|a| !a.fleet().suspects.is_empty());
+        eventually("both suspects run", both).await;
+        let [first, second] = [0, 1].map(|i| apps[i].fleet().suspects.clone());
+        assert!(first.is_disjoint(&second), "{engine} down for {viewer}: both run on {first:?}");
+        calls.join_all().await;
+        let id = engine.parse().unwrap();
+        apps[viewer].fleet().engine(&id).unwrap().breaker.record_success();
+    }
+}
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -44,7 +44,9 @@
     pub(super) fn choose(&mut self, attempts: u32) -> Result<EngineChoice, Fault> {
         let app = self.app.clone();
         let now = app.now();
-        match app.quarantine().permission(self.request.fingerprint, now) {
+        // Bound first: in the match itself the lock would be held until its end.
+        let permission = app.quarantine().permission(self.request.fingerprint, now);
+        match permission {
             RunPermission::Clear => {}
             RunPermission::Isolate => return self.choose_isolated(now),
             RunPermission::Quarantined => {
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -4,38 +4,54 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::EngineView,
-        ids::{EngineId, Tokens},
+        ids::Tokens,
         manifest::Role,
+        poison::isolation_part,
     },
+    std::time::Duration,
 };
 
+/// Time for which a suspect waits if no engine of this instance's own part accepts work.
+const OWN_PART_WAIT: Duration = Duration::from_secs(1);
+
 impl Task {
     /// Chooses an engine that runs no other suspect, so that a second crash identifies the request
     /// that caused it.
     ///
     /// Each instance sends its suspects to its own part of the engines, by its rank among the
     /// instances of the region, so that suspects of two instances do not share an engine either.
+    /// If its part is empty, or has accepted no work for a while, it uses all engines.
     pub(super) fn choose_isolated(&mut self, now: Time) -> Result<EngineChoice, Fault> {
         self.release_isolated();
+        self.part_closed_since.get_or_insert(now);
         let app = self.app.clone();
         let (rank, count) = {
             let view = app.member_view();
             let region = &app.settings.region;
             let others = view.live().filter(|m| m.info.region == *region).count();
-            (view.rank_for("suspects", region), others + 1)
+            (view.rank_among_live("suspects", region), others + 1)
         };
+        let crashed = app.quarantine().recently_crashed(now);
         let mut fleet = app.fleet();
         fleet.refresh(now);
         let routing = &self.request.routing;
-        let suitable = |e: &EngineView| {
+        let serves = |e: &EngineView| {
             let loaded = routing.adapter.as_ref().is_none_or(|a| e.adapters.contains(a));
-            e.model == routing.model && e.role == Role::Decode && loaded && e.accepts_work(now)
+            e.model == routing.model && e.role == Role::Decode && loaded
         };
-        let available: Vec<EngineId> =
-            fleet.engines.iter().filter(|e| suitable(e)).map(|e| e.id.clone()).collect();
-        let own_part: Vec<&EngineId> = available.iter().skip(rank).step_by(count).collect();
-        let candidates = if own_part.is_empty() { available.iter().collect() } else { own_part };
-        let found = candidates.into_iter().find(|id| !fleet.suspects.contains(*id)).cloned();
+        let serving: Vec<&EngineView> = fleet.engines.iter().filter(|e| serves(e)).collect();
+        let sound = serving.iter().map(|e| &e.id).filter(|id| !crashed.contains(*id));
+        let part = isolation_part(sound, rank, count);
+        if serving.iter().any(|e| part.contains(&e.id) && e.accepts_work(now)) {
+            self.part_closed_since = None;
+        }
+        let any_part = part.is_empty()
+            || self.part_closed_since.is_some_and(|since| now - since >= OWN_PART_WAIT);
+        let found = serving
+            .iter()
+            .filter(|e| e.accepts_work(now) && (any_part || part.contains(&e.id)))
+            .find(|e| !fleet.suspects.contains(&e.id))
+            .map(|e| e.id.clone());
         let no_engine =
             || Fault::new(ErrorKind::NoTarget, "no available engine is free of other suspects");
         let id = found.ok_or_else(no_engine)?;
@@ -46,6 +62,7 @@
         let decode = Target::from_view(engine);
         fleet.suspects.insert(id.clone());
         self.isolated = Some(id);
+        self.part_closed_since = None;
         Ok(EngineChoice { decode, prefill: None, prefill_tokens: prompt, fetch_from: None })
     }
 
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -53,6 +53,8 @@
     pub(super) maybe_ran: bool,
     /// Engine reserved for this request while it is a crash suspect.
     pub(super) isolated: Option<EngineId>,
+    /// Since when no engine for suspects of this instance accepts work.
+    pub(super) part_closed_since: Option<Time>,
     /// Run requests that reached a target.
     pub(super) runs_sent: u32,
     /// Prefill requests sent.
@@ -104,6 +106,7 @@
             first_token: None,
             maybe_ran: false,
             isolated: None,
+            part_closed_since: None,
             runs_sent: 0,
             prefills_sent: 0,
             head_sent: false,
