Gossip: a full queue drops the update sent most often, not the newest

Cause: on overflow the queue dropped its first entry. take_updates sorts the entries with most sends left to the front, so after a heartbeat that was the newest one, which may never have been sent.

Fix: the entry sent most often is dropped. Evidence: the new unit test fails before (news queued on a full queue is gone after the next updates) and passes after.

--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -15,7 +15,7 @@
 const DEAD_PROBE_PERIODS: u64 = 8;
 /// Number of heartbeats that carry the same update.
 const UPDATE_SENDS: u32 = 12;
-/// Most updates that wait to be sent; beyond it the first one in the list is dropped.
+/// Most updates that wait to be sent; beyond it the one sent most often is dropped.
 const MAX_PENDING_UPDATES: usize = 64;
 
 /// Timeouts of the failure detector, as multiples of the heartbeat interval.
@@ -179,7 +179,8 @@
         self.updates.retain(|(queued, _)| !same_subject(queued, &update));
         self.updates.push((update, UPDATE_SENDS));
         if self.updates.len() > MAX_PENDING_UPDATES {
-            self.updates.remove(0);
+            let most_sent = (0..self.updates.len()).min_by_key(|i| self.updates[*i].1);
+            most_sent.map(|i| self.updates.remove(i));
             self.dropped += 1;
         }
     }
--- a/core/src/mesh/tests.rs
+++ b/core/src/mesh/tests.rs
@@ -2,8 +2,9 @@
     super::*,
     crate::{
         clock::Time,
-        ids::{Incarnation, Revision},
+        ids::{Fingerprint, Incarnation, Revision},
         order::Holder,
+        poison::Crash,
     },
     proptest::prelude::*,
     std::time::Duration,
@@ -205,3 +206,21 @@
     let recovered: Vec<usize> = views.iter().map(count_alive).collect();
     assert_eq!(recovered, [11; 12]);
 }
+
+#[test]
+fn update_that_was_never_sent_is_kept_when_too_many_wait() {
+    let leaving = |i: usize| Update::Leaving {
+        engine: format!("e{i}").parse().unwrap(),
+        boot: Incarnation(1),
+    };
+    let mut view = MemberView::new(info("me"), TIMING);
+    (0..64).for_each(|i| view.queue_update(leaving(i)));
+    view.take_updates(64);
+    let crash = Crash { engine: "e".parse().unwrap(), boot: Incarnation(1) };
+    let news = Update::Crashed { fingerprint: Fingerprint(1), crash };
+    view.queue_update(news.clone());
+    view.take_updates(0);
+    (64..100).for_each(|i| view.queue_update(leaving(i)));
+    assert!(view.take_updates(64).contains(&news));
+    assert_eq!(view.dropped_updates(), 37);
+}
