A crash is reported to all members at once, besides by gossip

What callers saw: a request that had crashed three targets was sent to targets by other instances more than the stable window of 4 s later.

Cause: the news of a crash was carried by heartbeats only, 6 updates in each, two heartbeats in 500 ms, each update 12 times. A crashed target brings one update for each request that ran on it, and each instance passes each on: with 10 crashed targets beside, the news of the poison waited for seconds behind that of harmless requests. Class of fault: a bounded channel shared by urgent and bulk news, with no bound on the delay of the urgent.

Gossip still carries it beyond the view and to those that missed the datagram. Instances of earlier versions refuse the new message as malformed and learn by gossip as before.

--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -2,7 +2,10 @@
     super::{MemberInfo, MemberState},
     crate::{
         fleet::{InFlight, PrefixNote, TargetBatch},
-        ids::{CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, ModelId, Revision},
+        ids::{
+            CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, Millis, ModelId,
+            Revision,
+        },
         manifest::{Edit, ManifestRecord, Role},
         order::Holder,
         plan::Demand,
@@ -58,6 +61,20 @@
     /// Latest changes to the platform's directory of targets, in the order in which the sender read
     /// them, by datagram.
     Targets(Vec<TargetBatch>),
+    /// Crashes of targets while they ran requests, by datagram to all members as soon as one is
+    /// found.
+    Crashes(Vec<CrashNote>),
+}
+
+/// A crash of a target while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNote {
+    /// Hash that identifies the request.
+    pub fingerprint: Fingerprint,
+    /// Target that crashed, with its incarnation.
+    pub crash: Crash,
+    /// Time since the sender recorded it.
+    pub age: Millis,
 }
 
 /// Demand that the sender measures for one model's engines in one cell.
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -1,12 +1,12 @@
 use {
-    super::datagram::send_heartbeat,
+    super::{crash_news::record_reported_crash, datagram::send_heartbeat},
     crate::{
         app::{App, CellHolder},
         control, follow,
     },
     lentil_core::{
-        ids::Revision,
-        mesh::{Envelope, Heartbeat, Message, PullReply, Update},
+        ids::{Millis, Revision},
+        mesh::{CrashNote, Envelope, Heartbeat, Message, PullReply, Update},
     },
     std::{net::SocketAddr, sync::Arc},
 };
@@ -48,6 +48,10 @@
         Message::Targets(batches) => {
             app.relayed_targets.send_replace(Arc::new(batches));
         }
+        Message::Crashes(notes) => {
+            let now = app.now();
+            notes.iter().for_each(|note| record_reported_crash(app, note, now));
+        }
         // All other messages are sent by connection.
         _ => {}
     }
@@ -70,19 +74,15 @@
     let now = app.now();
     let is_new = match &update {
         Update::Member { info, state } => {
-            // The view itself queues what is new for the other instances.
+            // The view itself queues what is new for the other instances; so does the record of a
+            // crash.
             app.member_view().apply(info, *state, now);
             false
         }
         Update::Crashed { fingerprint, crash } => {
-            let is_new = app.quarantine().record_crash(*fingerprint, crash.clone(), now);
-            if is_new {
-                log::info!(
-                    "poison: target={} verdict=reported request={fingerprint}",
-                    crash.engine
-                );
-            }
-            is_new
+            let (fingerprint, crash) = (*fingerprint, crash.clone());
+            record_reported_crash(app, &CrashNote { fingerprint, crash, age: Millis(0) }, now);
+            false
         }
         Update::Leaving { engine, boot } => {
             let mut fleet = app.fleet();
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between instances: gossip by datagram, requests by connection.
 
+mod crash_news;
 mod datagram;
 mod frame_codec;
 mod handlers;
@@ -8,6 +9,7 @@
 
 pub(crate) use datagram::send_datagram;
 pub use {
+    crash_news::report_crash,
     datagram::{announce_leave, contact, listen_datagrams, send_heartbeats},
     frame_codec::FrameCodec,
     in_flight::report_in_flight,
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -1,7 +1,7 @@
 use {
     super::task::{Target, Task},
-    crate::{app::App, ports::EngineError},
-    lentil_core::{ids::Fingerprint, mesh::Update, poison::Crash},
+    crate::{app::App, mesh::report_crash, ports::EngineError},
+    lentil_core::{ids::Fingerprint, poison::Crash},
     std::{sync::Arc, time::Duration},
     tokio::time::sleep,
 };
@@ -76,11 +76,7 @@
     }
     update_breaker(app, target, false, "it has crashed");
     let crash = Crash { engine: target.id.clone(), boot: target.boot };
-    let now = app.now();
-    if app.quarantine().record_crash(fingerprint, crash.clone(), now) {
-        log::warn!("poison: request {fingerprint} ran on engine {} as it crashed", target.id);
-        app.member_view().queue_update(Update::Crashed { fingerprint, crash });
-    }
+    report_crash(app, fingerprint, crash).await;
 }
 
 /// Result of the investigation of a target that lost an answer.
