Instances reconcile their quarantines

What callers saw: a request that had crashed its targets was sent to targets again by every instance that had started, or been cut off, since: after a restart of many instances N more resends, each of which crashed its target.

Cause: the crashes of a request are gossiped for a few seconds and never again. Nothing compared the quarantines of two instances later. Class of fault: state spread by rumor only, without anti-entropy.

Fix: after each heartbeat an instance whose quarantine is not empty sends its digest; a member whose own digest differs requests the entries, at most twice a second. Only quarantined requests count, not the many suspects, so nothing is sent in a fleet without one. A full table now removes suspects before quarantined requests.

--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -9,7 +9,7 @@
         manifest::{Edit, ManifestRecord, Role},
         order::Holder,
         plan::Demand,
-        poison::Crash,
+        poison::{Crash, QuarantineDigest},
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -62,8 +62,12 @@
     /// them, by datagram.
     Targets(Vec<TargetBatch>),
     /// Crashes of targets while they ran requests, by datagram to all members as soon as one is
-    /// found.
+    /// found, and as the reply to [`Message::PullQuarantine`].
     Crashes(Vec<CrashNote>),
+    /// Digest of the requests in the sender's quarantine, by datagram after each heartbeat.
+    QuarantineDigest(QuarantineDigest),
+    /// Requests the crashes by which requests are in the receiver's quarantine.
+    PullQuarantine,
 }
 
 /// A crash of a target while it ran a request.
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -13,7 +13,8 @@
 
 /// Number of target crashes after which a fingerprint is quarantined.
 pub const MAX_LOST_TARGETS: usize = 2;
-/// Highest number of tracked fingerprints; beyond it the one with the oldest crash is removed.
+/// Highest number of tracked fingerprints; beyond it the one with the oldest crash is removed, a
+/// quarantined one only if there is no other.
 pub const MAX_SUSPECTS: usize = 4_096;
 /// Time after its last crash for which a fingerprint is restricted.
 pub const SUSPECT_RETENTION: Duration = Duration::from_secs(3_600);
@@ -22,6 +23,18 @@
 /// that the crash left behind waits for its next run.
 const CRASHED_TARGET_REST: Duration = Duration::from_secs(30);
 
+/// Digest of the fingerprints in a quarantine, to find out whether two instances hold the same ones.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct QuarantineDigest(u64);
+
+impl QuarantineDigest {
+    /// Returns whether the quarantine is empty.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+}
+
 /// One crash of a target while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Crash {
@@ -77,7 +90,7 @@
             return false;
         }
         suspect.crashes.push(crash);
-        suspect.last_crash = now;
+        suspect.last_crash = suspect.last_crash.max(now);
         self.trim();
         true
     }
@@ -91,6 +104,22 @@
         }
     }
 
+    /// Returns the quarantined fingerprints with their crashes and the time of the last one.
+    pub fn entries(&self, now: Time) -> impl Iterator<Item = (Fingerprint, &[Crash], Time)> {
+        let held = move |s: &Suspect| {
+            s.crashes.len() >= MAX_LOST_TARGETS && now - s.last_crash < SUSPECT_RETENTION
+        };
+        let entries = self.suspects.iter().filter(move |(_, s)| held(s));
+        entries.map(|(fingerprint, s)| (*fingerprint, s.crashes.as_slice(), s.last_crash))
+    }
+
+    /// Returns the digest of the quarantined fingerprints; their crashes do not count, as two
+    /// instances may have recorded different ones.
+    pub fn digest(&self, now: Time) -> QuarantineDigest {
+        let fingerprints = self.entries(now).map(|(fingerprint, _, _)| fingerprint.0);
+        QuarantineDigest(fingerprints.fold(0, |digest, fingerprint| digest ^ fingerprint))
+    }
+
     /// Returns the targets that suspects have crashed within the last 30 seconds.
     pub fn recently_crashed(&self, now: Time) -> BTreeSet<EngineId> {
         let recent = self.suspects.values().filter(|s| now - s.last_crash < CRASHED_TARGET_REST);
@@ -116,7 +145,8 @@
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
-        let oldest = self.suspects.iter().min_by_key(|(_, s)| s.last_crash).map(|(p, _)| *p);
+        let rank = |s: &Suspect| (s.crashes.len() >= MAX_LOST_TARGETS, s.last_crash);
+        let oldest = self.suspects.iter().min_by_key(|(_, s)| rank(s)).map(|(p, _)| *p);
         if let Some(fingerprint) = oldest {
             self.suspects.remove(&fingerprint);
         }
--- a/core/src/poison/tests.rs
+++ b/core/src/poison/tests.rs
@@ -84,3 +84,33 @@
     let later = quarantine.recently_crashed(at(35_000));
     assert_eq!(later.into_iter().collect::<Vec<_>>(), ["b".parse().unwrap()]);
 }
+
+#[test]
+fn digest_is_equal_for_the_same_requests_whatever_crashed() {
+    let now = Time::from_millis(5);
+    let [mut a, mut b] = [Quarantine::default(), Quarantine::default()];
+    assert!(a.digest(now).is_empty());
+    for (quarantine, engines) in [(&mut a, ["x", "y"]), (&mut b, ["y", "z"])] {
+        for engine in engines {
+            quarantine.record_crash(FINGERPRINT, crash(engine, 1), now);
+        }
+    }
+    b.record_crash(Fingerprint(2), crash("x", 1), now);
+    assert!(!a.digest(now).is_empty());
+    assert_eq!(a.digest(now), b.digest(now), "a suspect alone does not count");
+    b.record_crash(Fingerprint(2), crash("y", 1), now);
+    assert_ne!(a.digest(now), b.digest(now));
+    assert!(a.digest(now + SUSPECT_RETENTION).is_empty());
+}
+
+#[test]
+fn quarantined_request_outlives_newer_suspects_in_a_full_table() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_crash(FINGERPRINT, crash("a", 1), Time::ZERO);
+    quarantine.record_crash(FINGERPRINT, crash("b", 1), Time::ZERO);
+    for i in 0..MAX_SUSPECTS as u64 + 10 {
+        quarantine.record_crash(Fingerprint(100 + i), crash("a", 1), Time::from_millis(i));
+    }
+    let permission = quarantine.permission(FINGERPRINT, Time::ZERO);
+    assert_eq!(permission, RunPermission::Quarantined);
+}
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -145,3 +145,18 @@
         apps[viewer].fleet().engine(&id).unwrap().breaker.record_success();
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn quarantine_reaches_instances_that_missed_all_news_of_its_crashes() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(3).await;
+    let app = &instances[0].app;
+    for engine in ["e0", "e1"] {
+        let crash = Crash { engine: engine.parse().unwrap(), boot: Incarnation(1) };
+        app.quarantine().record_crash(Fingerprint(7), crash, app.now());
+    }
+    let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
+    let all_know = move || apps.iter().all(|a| a.quarantine().quarantined() == 1);
+    eventually("all instances know", all_know).await;
+}
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -100,6 +100,8 @@
     cache_index: Mutex<CacheIndex>,
     admission: Mutex<Admission>,
     quarantine: Mutex<Quarantine>,
+    /// When another instance's quarantine was last requested.
+    quarantine_pull: Mutex<Option<Time>>,
     holders: Mutex<Holders>,
     /// Greatest manifest revision reported by any instance.
     latest_revision: Mutex<Revision>,
@@ -148,6 +150,7 @@
             fleet: Mutex::default(),
             cache_index: Mutex::default(),
             quarantine: Mutex::default(),
+            quarantine_pull: Mutex::default(),
             holders: Mutex::default(),
             latest_revision: Mutex::default(),
             settings,
@@ -194,6 +197,17 @@
         lock(&self.quarantine)
     }
 
+    /// Returns whether another instance's quarantine may be requested at `now`, at most once in
+    /// `interval`, and records the request.
+    pub fn start_quarantine_pull(&self, now: Time, interval: Duration) -> bool {
+        let mut latest = lock(&self.quarantine_pull);
+        let due = latest.is_none_or(|t| now - t >= interval);
+        if due {
+            *latest = Some(now);
+        }
+        due
+    }
+
     /// Locks the holders of the cells and the reports for them.
     pub fn holders(&self) -> MutexGuard<'_, Holders> {
         lock(&self.holders)
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -1,15 +1,18 @@
 use {
-    super::send_datagram,
+    super::{request, send_datagram},
     crate::app::App,
     lentil_core::{
         clock::Time,
         ids::{Fingerprint, Millis},
         mesh::{CrashNote, Message, Update},
-        poison::Crash,
+        poison::{Crash, QuarantineDigest},
     },
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
+/// Shortest interval between two requests for other instances' quarantines.
+const MIN_PULL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Records a crash that this instance has found, and tells all members of its view at once. Gossip
 /// reaches the instances beyond the view, and those that missed the datagram.
 pub async fn report_crash(app: &Arc<App>, fingerprint: Fingerprint, crash: Crash) {
@@ -48,3 +51,37 @@
     }
     is_new
 }
+
+/// Requests the quarantine of the instance at `address` if its digest differs from the own one.
+///
+/// Gossip carries each crash for a few seconds only. An instance that was cut off meanwhile, or has
+/// started since, learns of it here.
+pub(super) fn pull_quarantine(app: &Arc<App>, address: SocketAddr, digest: QuarantineDigest) {
+    let now = app.now();
+    if app.quarantine().digest(now) == digest || !app.start_quarantine_pull(now, MIN_PULL_INTERVAL)
+    {
+        return;
+    }
+    let app = app.clone();
+    tokio::spawn(async move {
+        match request(&app, address, None, Message::PullQuarantine).await {
+            Ok(Message::Crashes(notes)) => {
+                let now = app.now();
+                notes.iter().for_each(|note| record_reported_crash(&app, note, now));
+            }
+            Ok(_) => log::debug!("mesh: {address} did not reply with its quarantine"),
+            Err(error) => log::debug!("mesh: quarantine of {address} not received: {error}"),
+        }
+    });
+}
+
+/// Returns the crashes by which requests are in this instance's quarantine.
+pub(super) fn quarantine_notes(app: &App) -> Vec<CrashNote> {
+    let now = app.now();
+    let quarantine = app.quarantine();
+    let notes = quarantine.entries(now).flat_map(|(fingerprint, crashes, last)| {
+        let age = Millis((now - last).as_millis() as u64);
+        crashes.iter().map(move |crash| CrashNote { fingerprint, crash: crash.clone(), age })
+    });
+    notes.collect()
+}
--- a/node/src/mesh/datagram.rs
+++ b/node/src/mesh/datagram.rs
@@ -71,7 +71,11 @@
         (view.me().clone(), view.take_updates(MAX_HEARTBEAT_UPDATES))
     };
     let heartbeat = Heartbeat { me, reply, revision: app.revision(), updates };
-    send_datagram(app, address, to, Message::Heartbeat(heartbeat)).await;
+    send_datagram(app, address, to.clone(), Message::Heartbeat(heartbeat)).await;
+    let digest = app.quarantine().digest(app.now());
+    if !digest.is_empty() {
+        send_datagram(app, address, to, Message::QuarantineDigest(digest)).await;
+    }
 }
 
 /// Sends one datagram. Send errors are ignored: any datagram may be lost.
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -1,5 +1,8 @@
 use {
-    super::{crash_news::record_reported_crash, datagram::send_heartbeat},
+    super::{
+        crash_news::{pull_quarantine, quarantine_notes, record_reported_crash},
+        datagram::send_heartbeat,
+    },
     crate::{
         app::{App, CellHolder},
         control, follow,
@@ -52,6 +55,7 @@
             let now = app.now();
             notes.iter().for_each(|note| record_reported_crash(app, note, now));
         }
+        Message::QuarantineDigest(digest) => pull_quarantine(app, address, digest),
         // All other messages are sent by connection.
         _ => {}
     }
@@ -112,6 +116,7 @@
                 false => Message::Refused,
             }
         }
+        Message::PullQuarantine => Message::Crashes(quarantine_notes(app)),
         _ => Message::Refused,
     }
 }
