A target that falls silent counts as crashed

What callers saw: a request that crashed targets without their connections closing was sent to target after target; each attempt ended by its deadline, and the answer was 504 without end.

Cause: only a lost connection was looked into. An attempt that ended by its deadline, by the timeout of the target's answer or because its caller left, was not; and a target that answered none of three probes counted as alive. On the other hand a connection that timed out counted as proof of a crash, also when the instance itself was cut off from all targets. Class of fault: a failure detector that knows only closed connections.

Fix: an attempt that ends while its target has answered nothing for half a second starts the same investigation, one for all requests on a target. A target that answers no probe counts as crashed if other targets have answered this instance since; a connection that times out is silence, a refused one is proof. An incarnation that the directory or the report does not name is not taken for another process.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -53,6 +53,8 @@
     pub draining: bool,
     /// True while it is carrying out an order; it then gets no new work.
     pub unavailable: bool,
+    /// When it last completed an answer for this instance.
+    pub last_answer: Time,
 }
 
 impl EngineView {
@@ -70,6 +72,7 @@
             adapters: SmallVec::new(),
             load: LoadView::default(),
             breaker: Breaker::default(),
+            last_answer: Time::ZERO,
             leaving: false,
             draining: false,
             unavailable: false,
@@ -97,6 +100,7 @@
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
             breaker: Breaker::default(),
+            last_answer: Time::ZERO,
             leaving: target.leaving,
             draining: false,
             unavailable: false,
--- a/core/src/poison/mod.rs
+++ b/core/src/poison/mod.rs
@@ -3,8 +3,9 @@
 mod fingerprint;
 mod isolation;
 mod quarantine;
+mod verdict;
 
-pub use {isolation::*, quarantine::*};
+pub use {isolation::*, quarantine::*, verdict::*};
 
 #[cfg(test)]
 mod tests;
--- a/node/src/adapters/store.rs
+++ b/node/src/adapters/store.rs
@@ -62,7 +62,9 @@
     ) -> Result<BufferedResponse, StoreError> {
         let response =
             call(self.address, request, self.timeout + extra).await.map_err(|e| match e {
-                CallError::NotSent(..) => StoreError::Unavailable(e.to_string()),
+                CallError::NotSent(..) | CallError::ConnectTimeout(_) => {
+                    StoreError::Unavailable(e.to_string())
+                }
                 CallError::Lost(..) | CallError::Timeout(_) => StoreError::Unknown(e.to_string()),
             })?;
         match response.status {
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -15,6 +15,7 @@
         mesh::FrameCodec,
         metrics::Metrics,
         ports::{ConfigStore, Engine, InstanceList, PlainService, WeightStore},
+        run::Investigations,
     },
     lentil_core::{
         clock::Time,
@@ -102,6 +103,7 @@
     quarantine: Mutex<Quarantine>,
     /// When another instance's quarantine was last requested.
     quarantine_pull: Mutex<Option<Time>>,
+    investigations: Mutex<Investigations>,
     holders: Mutex<Holders>,
     /// Greatest manifest revision reported by any instance.
     latest_revision: Mutex<Revision>,
@@ -151,6 +153,7 @@
             cache_index: Mutex::default(),
             quarantine: Mutex::default(),
             quarantine_pull: Mutex::default(),
+            investigations: Mutex::default(),
             holders: Mutex::default(),
             latest_revision: Mutex::default(),
             settings,
@@ -197,6 +200,11 @@
         lock(&self.quarantine)
     }
 
+    /// Locks the investigations of targets that are in progress. No other lock is taken meanwhile.
+    pub fn investigations(&self) -> MutexGuard<'_, Investigations> {
+        lock(&self.investigations)
+    }
+
     /// Returns whether another instance's quarantine may be requested at `now`, at most once in
     /// `interval`, and records the request.
     pub fn start_quarantine_pull(&self, now: Time, interval: Duration) -> bool {
--- a/node/src/control/orders.rs
+++ b/node/src/control/orders.rs
@@ -61,9 +61,8 @@
                 self.ledger.skip_past(seen);
                 (OrderResult::Refused, "fenced")
             }
-            Err(EngineError::Refused(_) | EngineError::NotSent(_)) => {
-                (OrderResult::Refused, "refused")
-            }
+            Err(EngineError::Refused(_)) => (OrderResult::Refused, "refused"),
+            Err(error) if error.not_sent() => (OrderResult::Refused, "refused"),
             Err(EngineError::NoAuthority) => (OrderResult::Refused, "no-authority"),
             Err(error) => {
                 log::warn!(
--- a/node/src/follow/engines.rs
+++ b/node/src/follow/engines.rs
@@ -52,7 +52,7 @@
     let Some(engine) = fleet.engine(id) else { return };
     let report = match report {
         Ok(report) => report,
-        Err(EngineError::NotSent(_)) => return engine.breaker.trip(app.clock.now()),
+        Err(error) if error.not_sent() => return engine.breaker.trip(app.clock.now()),
         Err(_) => return,
     };
     let restarted = engine.boot != report.boot;
--- a/node/src/http/client.rs
+++ b/node/src/http/client.rs
@@ -22,6 +22,9 @@
     /// The connection could not be established: nothing was sent.
     #[error("connection to {0} failed: {1}")]
     NotSent(SocketAddr, String),
+    /// The connection was not established in time: nothing was sent.
+    #[error("connection to {0} failed: timed out")]
+    ConnectTimeout(SocketAddr),
     /// The connection failed after the request was sent: the request may have taken effect.
     #[error("{0} did not respond: {1}")]
     Lost(SocketAddr, String),
@@ -33,7 +36,7 @@
 impl CallError {
     /// Returns whether it is certain that nothing was sent.
     pub fn not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(..))
+        matches!(self, Self::NotSent(..) | Self::ConnectTimeout(_))
     }
 }
 
@@ -51,12 +54,13 @@
     /// Connects to `address` within `connect_timeout`.
     ///
     /// # Errors
-    /// Returns [`CallError::NotSent`] if the connection fails.
+    /// Returns [`CallError::NotSent`] if the connection fails, [`CallError::ConnectTimeout`] if it is
+    /// not established in time.
     pub async fn open(address: SocketAddr, connect_timeout: Duration) -> Result<Self, CallError> {
         let not_sent = |e: String| CallError::NotSent(address, e);
         let stream = timeout(connect_timeout, TcpStream::connect(address))
             .await
-            .map_err(|_| not_sent("timed out".into()))?
+            .map_err(|_| CallError::ConnectTimeout(address))?
             .map_err(|e| not_sent(e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
         let (sender, driver) =
--- a/node/src/http/pool.rs
+++ b/node/src/http/pool.rs
@@ -73,7 +73,8 @@
     /// `connect_timeout`.
     ///
     /// # Errors
-    /// Returns [`CallError::NotSent`] if the connection fails.
+    /// Returns [`CallError::NotSent`] if the connection fails, [`CallError::ConnectTimeout`] if it is
+    /// not established in time.
     pub async fn acquire(
         self: &Arc<Self>,
         name: &str,
@@ -126,7 +127,7 @@
         let failed = |text: String| CallError::NotSent(address, text);
         let stream = timeout(connect_timeout, TcpStream::connect(address))
             .await
-            .map_err(|_| failed("timed out".into()))?
+            .map_err(|_| CallError::ConnectTimeout(address))?
             .map_err(|e| failed(e.to_string()))?;
         configure_socket(&stream).map_err(|e| failed(e.to_string()))?;
         let (sender, driver) =
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -163,6 +163,9 @@
     /// The engine could not be reached: nothing was sent.
     #[error("request was not sent to the engine: {0}")]
     NotSent(String),
+    /// The engine did not accept a connection in time: nothing was sent.
+    #[error("engine did not accept a connection in time: {0}")]
+    Unreachable(String),
     /// The engine refused the request without acting on it.
     #[error("engine refused the request: {0}")]
     Refused(String),
@@ -189,7 +192,12 @@
 impl EngineError {
     /// Returns whether it is certain that the engine did not run the request.
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Refused(_) | Self::Misdirected)
+        self.not_sent() || matches!(self, Self::Refused(_) | Self::Misdirected)
+    }
+
+    /// Returns whether nothing was sent to the engine.
+    pub fn not_sent(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::Unreachable(_))
     }
 }
 
@@ -197,6 +205,7 @@
     fn from(error: CallError) -> Self {
         match error {
             CallError::NotSent(..) => Self::NotSent(error.to_string()),
+            CallError::ConnectTimeout(_) => Self::Unreachable(error.to_string()),
             CallError::Lost(..) => Self::Lost(error.to_string()),
             CallError::Timeout(_) => Self::Timeout,
         }
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -78,6 +78,7 @@
         // From here on a cancelled attempt may have run.
         let ran_before = std::mem::replace(&mut self.task.maybe_ran, true);
         self.task.runs_sent += 1;
+        self.task.running_at = Some((target.clone(), self.task.app.now()));
         if self.task.last_event.is_some() {
             self.task.app.metrics.resumes.inc();
         }
@@ -92,7 +93,7 @@
                 if error.not_run() {
                     self.task.maybe_ran = ran_before;
                 }
-                if matches!(error, EngineError::NotSent(_)) {
+                if error.not_sent() {
                     self.task.runs_sent -= 1;
                 }
                 AttemptEnd::Failed(self.record_error(&target, &error).await)
@@ -146,6 +147,7 @@
         );
         let start = app.now();
         let job = self.job(&target, None);
+        self.task.running_at = Some((target.clone(), start));
         match app.ports.engines.prefill(target.address, job).await {
             Ok(run) => {
                 drop(guard);
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -1,23 +1,38 @@
 use {
     super::task::{Target, Task},
     crate::{app::App, mesh::report_crash, ports::EngineError},
-    lentil_core::{ids::Fingerprint, poison::Crash},
-    std::{sync::Arc, time::Duration},
+    futures_util::{future::Shared, FutureExt},
+    lentil_core::{
+        clock::Time,
+        ids::{EngineId, Fingerprint, Incarnation},
+        poison::{Crash, Verdict},
+    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
-/// Probes of a target that accepts connections but does not answer; if all of them fail, the target
-/// does not count as crashed.
+/// Probes of a target that does not answer; if all of them fail, it counts as silent.
 const CRASH_PROBES: u32 = 3;
 /// Interval between these probes.
 const CRASH_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without an answer of the target after which an abandoned attempt is investigated. Shorter
+/// silences are usual while prompts queue.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
+
+type PendingVerdict = Shared<futures_util::future::BoxFuture<'static, Verdict>>;
+
+/// Investigations in progress. All requests that failed on a target share one.
+#[derive(Default)]
+pub struct Investigations(HashMap<(EngineId, Incarnation), PendingVerdict>);
 
 impl Task {
     /// Records that an engine answered, which closes its circuit breaker.
     pub(super) fn record_success(&self, target: &Target) {
         self.app.metrics.record_attempt(&target.id, "answered");
+        let now = self.app.now();
         if let Some(engine) = self.app.fleet().engine(&target.id) {
             engine.breaker.record_success();
+            engine.last_answer = now;
         }
     }
 
@@ -28,21 +43,45 @@
         // One lost answer or short time-out says little about a target that many requests share.
         // Its breaker opens after several failures in a row, or when the target has crashed.
         let proxied = self.request.proxied.is_some();
-        let alive = matches!(error, EngineError::Refused(_))
-            || proxied && !matches!(error, EngineError::NotSent(_) | EngineError::Misdirected);
+        let unreachable = error.not_sent() || matches!(error, EngineError::Misdirected);
+        let alive = matches!(error, EngineError::Refused(_)) || proxied && !unreachable;
         update_breaker(&self.app, target, alive, &error.to_string());
-        if !matches!(error, EngineError::Lost(_)) {
+        let suspicious = match error {
+            EngineError::Lost(_) => true,
+            EngineError::Timeout => self.is_silent(target),
+            _ => false,
+        };
+        if !suspicious {
             return;
         }
-        let (app, fingerprint, target) =
-            (self.app.clone(), self.request.fingerprint, target.clone());
+        let investigation = investigate(self.app.clone(), self.request.fingerprint, target.clone());
         if proxied {
             // In the background, so that the request can be retried on another target at once.
-            tokio::spawn(async move { investigate(&app, fingerprint, &target).await });
+            tokio::spawn(investigation);
         } else {
-            investigate(&app, fingerprint, &target).await;
+            investigation.await;
         }
     }
+
+    /// Investigates the target of an attempt that ended by its deadline or because the caller
+    /// disconnected: the target may have crashed without closing its connections.
+    pub(super) fn investigate_abandoned(&mut self) {
+        let Some((target, _)) = &self.running_at else { return };
+        if self.is_silent(target) {
+            let (app, target) = (self.app.clone(), target.clone());
+            tokio::spawn(investigate(app, self.request.fingerprint, target));
+        }
+        self.running_at = None;
+    }
+
+    /// Returns whether a target has sent neither a piece of this answer nor another answer for
+    /// [`MIN_SILENCE`].
+    fn is_silent(&self, target: &Target) -> bool {
+        let sent = self.running_at.as_ref().map(|(_, sent)| *sent);
+        let answered = self.app.fleet().engine(&target.id).map(|e| e.last_answer);
+        let latest = [sent, self.last_piece, answered].into_iter().flatten().max();
+        self.app.now() - latest.unwrap_or(Time::ZERO) >= MIN_SILENCE
+    }
 }
 
 /// Counts a failure in the target's circuit breaker, or opens it at once if the target is down.
@@ -61,55 +100,53 @@
 }
 
 /// Finds out whether a target that lost an answer has crashed, and reports the crash if so.
-async fn investigate(app: &Arc<App>, fingerprint: Fingerprint, target: &Target) {
+async fn investigate(app: Arc<App>, fingerprint: Fingerprint, target: Target) {
     let began = app.now();
-    let verdict = find_verdict(app, target).await;
-    app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
+    let verdict = join_investigation(&app, &target).await;
+    let now = app.now();
+    let others_answer =
+        app.fleet().engines.iter().any(|e| e.id != target.id && e.last_answer > began);
     log::info!(
-        "poison: target={} verdict={} request={fingerprint} ms={}",
+        "poison: target={} verdict={} others_answer={others_answer} request={fingerprint} ms={}",
         target.id,
         verdict.label(),
-        (app.now() - began).as_millis()
+        (now - began).as_millis()
     );
-    if verdict != Verdict::Crashed {
+    if !verdict.is_crash(others_answer) {
         return;
     }
-    update_breaker(app, target, false, "it has crashed");
-    let crash = Crash { engine: target.id.clone(), boot: target.boot };
-    report_crash(app, fingerprint, crash).await;
+    update_breaker(&app, &target, false, "it has crashed");
+    report_crash(&app, fingerprint, Crash { engine: target.id, boot: target.boot }).await;
 }
 
-/// Result of the investigation of a target that lost an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Verdict {
-    /// The same process answers.
-    Alive,
-    /// The process is gone or was replaced by another.
-    Crashed,
-    /// The target answers no probe.
-    Silent,
-}
-
-impl Verdict {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Alive => "alive",
-            Self::Crashed => "crashed",
-            Self::Silent => "silent",
-        }
-    }
+/// Starts an investigation of the target, or joins the one in progress.
+fn join_investigation(app: &Arc<App>, target: &Target) -> PendingVerdict {
+    let mut investigations = app.investigations();
+    investigations.0.retain(|_, verdict| verdict.peek().is_none());
+    let key = (target.id.clone(), target.boot);
+    let start = || {
+        let (app, target) = (app.clone(), target.clone());
+        async move { find_verdict(&app, &target).await }.boxed().shared()
+    };
+    investigations.0.entry(key).or_insert_with(start).clone()
 }
 
 /// Finds out whether the engine's process is gone or was replaced by another. A broken connection
 /// alone is not a crash.
 async fn find_verdict(app: &App, target: &Target) -> Verdict {
+    let mut verdict = Verdict::Silent;
     for _ in 0..CRASH_PROBES {
         match app.ports.engines.report(target.address).await {
-            Ok(report) if report.boot == target.boot => return Verdict::Alive,
-            Ok(_) | Err(EngineError::NotSent(_)) => return Verdict::Crashed,
+            Ok(report) if target.may_be(report.boot) => verdict = Verdict::Alive,
+            Ok(_) | Err(EngineError::NotSent(_)) => verdict = Verdict::Crashed,
             // The port of a dying process may stay open for a while.
-            Err(_) => sleep(CRASH_PROBE_INTERVAL).await,
+            Err(_) => {
+                sleep(CRASH_PROBE_INTERVAL).await;
+                continue;
+            }
         }
+        break;
     }
-    Verdict::Silent
+    app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
+    verdict
 }
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -13,4 +13,4 @@
 mod resume;
 mod task;
 
-pub use {piece::*, request::*, resume::resume, task::start};
+pub use {failure::Investigations, piece::*, request::*, resume::resume, task::start};
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -9,7 +9,7 @@
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
         fleet::EngineView,
-        ids::{EngineId, Tokens},
+        ids::{EngineId, Incarnation, Tokens},
         poison::RunPermission,
     },
     std::{sync::Arc, time::Duration},
@@ -55,6 +55,8 @@
     pub(super) isolated: Option<EngineId>,
     /// Since when no engine for suspects of this instance accepts work.
     pub(super) part_closed_since: Option<Time>,
+    /// Target that has the request in work, and when it was sent there.
+    pub(super) running_at: Option<(Target, Time)>,
     /// Run requests that reached a target.
     pub(super) runs_sent: u32,
     /// Prefill requests sent.
@@ -87,13 +89,19 @@
 pub(super) struct Target {
     pub(super) id: EngineId,
     pub(super) address: std::net::SocketAddr,
-    pub(super) boot: lentil_core::ids::Incarnation,
+    pub(super) boot: Incarnation,
 }
 
 impl Target {
     pub(super) fn from_view(engine: &EngineView) -> Self {
         Self { id: engine.id.clone(), address: engine.address, boot: engine.boot }
     }
+
+    /// Returns whether a report with this incarnation may come from the target's process; zero
+    /// stands for an incarnation that is not known.
+    pub(super) fn may_be(&self, boot: Incarnation) -> bool {
+        boot == self.boot || boot.0 == 0 || self.boot.0 == 0
+    }
 }
 
 impl Task {
@@ -107,6 +115,7 @@
             maybe_ran: false,
             isolated: None,
             part_closed_since: None,
+            running_at: None,
             runs_sent: 0,
             prefills_sent: 0,
             head_sent: false,
@@ -199,14 +208,20 @@
         };
         let remaining = deadline - self.app.now();
         let sender = self.sender.clone();
-        tokio::select! {
+        let ended = tokio::select! {
             biased;
-            () = sender.closed() => AttemptEnd::CallerGone,
-            ended = timeout(remaining, Attempt::new(self, choice, kv_source).run()) => {
-                ended.unwrap_or_else(|_| {
-                    let text = "no target answered in time";
-                    AttemptEnd::Failed(Fault::new(ErrorKind::TargetTimeout, text))
-                })
+            () = sender.closed() => None,
+            ended = timeout(remaining, Attempt::new(self, choice, kv_source).run()) => Some(ended),
+        };
+        if !matches!(ended, Some(Ok(_))) {
+            self.investigate_abandoned();
+        }
+        match ended {
+            None => AttemptEnd::CallerGone,
+            Some(Ok(ended)) => ended,
+            Some(Err(_)) => {
+                let text = "no target answered in time";
+                AttemptEnd::Failed(Fault::new(ErrorKind::TargetTimeout, text))
             }
         }
     }
