The resend allowance is divided by the instances that the platform lists, not only by the members seen

Cause: each instance divided the slack by the live members of its own view plus one. In a partition of the mesh, and after a start, that is one; in a region of more than 65 instances the view is full and the number too small for good; and when instances are killed, those left divided what the killed ones had already used. Class of fault: a shared limit divided by a local count.

Fix: the divisor is the greatest number of the last 20 s, by the list of registered instances or by the view. Until the list was read, and in the first second, when others may be starting too, only the share of an instance's own requests is used. The list says which entries are gone; that does not count as proof that a process is.

--- a/core/src/limit/resend.rs
+++ b/core/src/limit/resend.rs
@@ -40,16 +40,23 @@
     }
 
     /// Takes `count` resends from this instance's share of the budget; `false` if fewer remain.
-    /// `instances` is the number of instances, this one included.
+    /// `instances` is the number of instances, this one included; `None` if it is not known, and the
+    /// slack cannot be shared.
     ///
     /// ```
     /// # use {lentil_core::{clock::Time, limit::{ResendBudget, ResendLimit}}, std::time::Duration};
     /// let limit = ResendLimit { ratio: 0.0, slack: 10.0, window: Duration::from_secs(10) };
     /// let mut budget = ResendBudget::default();
-    /// let taken = (0..20).filter(|_| budget.take(&limit, 2, 1, Time::ZERO)).count();
+    /// let taken = (0..20).filter(|_| budget.take(&limit, Some(2), 1, Time::ZERO)).count();
     /// assert_eq!(taken, 4);
     /// ```
-    pub fn take(&mut self, limit: &ResendLimit, instances: u32, count: u32, now: Time) -> bool {
+    pub fn take(
+        &mut self,
+        limit: &ResendLimit,
+        instances: Option<u32>,
+        count: u32,
+        now: Time,
+    ) -> bool {
         if i64::from(count) > self.remaining(limit, instances, now) {
             return false;
         }
@@ -59,11 +66,11 @@
 
     /// Returns the resends left at `now` to this instance, one of `instances`; negative if the
     /// budget is overdrawn.
-    pub fn remaining(&self, limit: &ResendLimit, instances: u32, now: Time) -> i64 {
+    pub fn remaining(&self, limit: &ResendLimit, instances: Option<u32>, now: Time) -> i64 {
         let oldest = Self::number(limit, now).saturating_sub(u64::from(WINDOW_SLICES));
         let slices = self.slices.iter().filter(|s| s.number >= oldest);
         let (requests, resends) = slices.fold((0, 0), |(a, b), s| (a + s.requests, b + s.resends));
-        let share = limit.slack / f64::from(instances.max(1));
+        let share = instances.map_or(0.0, |n| limit.slack / f64::from(n.max(1)));
         let allowed = (limit.ratio * f64::from(requests) + share) * USABLE_ALLOWANCE_SHARE;
         (allowed - f64::from(resends)).floor() as i64
     }
--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -53,7 +53,7 @@
         let now = Time::from_millis(ms);
         budget.record_request(&limit, now);
         sent.push(ms);
-        if budget.take(&limit, 3, 1, now) {
+        if budget.take(&limit, Some(3), 1, now) {
             taken.push(ms);
         }
     }
@@ -77,6 +77,15 @@
     let mut budget = ResendBudget::default();
     // 8 of the 10 resends are usable, and each request takes 2: one for its prefill, one for its
     // run.
-    let taken = (0..20).filter(|_| budget.take(&limit, 1, 2, Time::ZERO)).count();
+    let taken = (0..20).filter(|_| budget.take(&limit, Some(1), 2, Time::ZERO)).count();
     assert_eq!(taken, 4);
 }
+
+#[test]
+fn resends_without_a_known_fleet_are_limited_to_the_share_of_requests() {
+    let limit = ResendLimit { ratio: 0.5, slack: 10.0, window: std::time::Duration::from_secs(10) };
+    let mut budget = ResendBudget::default();
+    assert!(!budget.take(&limit, None, 1, Time::ZERO));
+    (0..10).for_each(|_| budget.record_request(&limit, Time::ZERO));
+    assert_eq!((0..20).filter(|_| budget.take(&limit, None, 1, Time::ZERO)).count(), 4);
+}
--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -4,7 +4,10 @@
         clock::Time,
         ids::{Fingerprint, InstanceId, Region},
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
 };
 
 /// Most instances of the own region in a view.
@@ -18,6 +21,12 @@
 /// Most updates that wait to be sent; beyond it the one sent most often is dropped.
 const MAX_PENDING_UPDATES: usize = 64;
 
+/// Time after the start within which the platform may not list other instances that start too.
+const LIST_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which a greater number of instances is remembered; at least the window of the resend
+/// limit, in which instances that are gone have used their shares.
+const SIZE_MEMORY: Duration = Duration::from_secs(20);
+
 /// Timeouts of the failure detector, as multiples of the heartbeat interval.
 #[derive(Debug, Clone, Copy)]
 pub struct DetectorTiming {
@@ -54,6 +63,10 @@
     members: BTreeMap<InstanceId, Member>,
     updates: Vec<(Update, u32)>,
     dropped: u64,
+    /// Number of instances that the platform lists, once it was read.
+    listed: Option<u32>,
+    /// Numbers of instances within [`SIZE_MEMORY`], each with its time; the latest is the last.
+    sizes: VecDeque<(Time, u32)>,
     next_member: u64,
     periods: u64,
 }
@@ -67,6 +80,8 @@
             members: BTreeMap::new(),
             updates: Vec::new(),
             dropped: 0,
+            listed: None,
+            sizes: VecDeque::new(),
             next_member: 0,
             periods: 0,
         }
@@ -206,6 +221,7 @@
     /// at most `count` live ones in turn, and every [`DEAD_PROBE_PERIODS`] periods a dead one.
     pub fn next_heartbeats(&mut self, count: usize, now: Time) -> Vec<MemberInfo> {
         self.update_states(now);
+        self.record_size(now);
         self.periods += 1;
         let live: Vec<InstanceId> = self.live().map(|m| m.info.id.clone()).collect();
         let mut chosen: Vec<MemberInfo> = self.dead_member_to_probe().into_iter().collect();
@@ -255,6 +271,34 @@
         self.members.retain(|_, m| !gone(m));
     }
 
+    /// Records the number of instances that the platform lists, this one included.
+    pub fn record_listed(&mut self, count: u32, now: Time) {
+        self.listed = Some(count);
+        self.record_size(now);
+    }
+
+    fn record_size(&mut self, now: Time) {
+        let size = (self.live().count() as u32 + 1).max(self.listed.unwrap_or(0));
+        while self.sizes.front().is_some_and(|(t, _)| now - *t > SIZE_MEMORY) {
+            self.sizes.pop_front();
+        }
+        // A later, greater number makes the ones before it irrelevant.
+        while self.sizes.back().is_some_and(|(_, s)| *s <= size) {
+            self.sizes.pop_back();
+        }
+        self.sizes.push_back((now, size));
+    }
+
+    /// Returns the greatest number of instances of the last 20 seconds, this one included, by the
+    /// view and by the platform's list; `None` while the list is not known.
+    ///
+    /// A limit that all instances share is divided by it: the view alone is too small after a start,
+    /// in a partition and in a large fleet.
+    pub fn fleet_size(&self, now: Time) -> Option<u32> {
+        self.listed.filter(|_| now - Time::ZERO >= LIST_SETTLE_TIME)?;
+        self.sizes.iter().map(|(_, size)| *size).max()
+    }
+
     /// Returns the rank of this instance for a duty among the alive instances of `region`, ordered
     /// by the hash of duty and name: 0 is the first.
     pub fn rank_for(&self, duty: &str, region: &Region) -> usize {
--- a/core/src/mesh/tests.rs
+++ b/core/src/mesh/tests.rs
@@ -207,6 +207,23 @@
     assert_eq!(recovered, [11; 12]);
 }
 
+#[test]
+fn fleet_size_is_the_greatest_of_list_and_view_for_a_while() {
+    let mut view = MemberView::new(info("me"), TIMING);
+    assert_eq!(view.fleet_size(at(5_000)), None, "the list is not known");
+    view.record_listed(1, at(100));
+    assert_eq!(view.fleet_size(at(500)), None, "others may still be starting");
+    assert_eq!(view.fleet_size(at(1_000)), Some(1));
+    view.record_listed(200, at(2_000));
+    view.record_listed(3, at(3_000));
+    assert_eq!(view.fleet_size(at(4_000)), Some(200));
+    view.record_listed(2, at(23_500));
+    assert_eq!(view.fleet_size(at(23_500)), Some(2));
+    (0..4).for_each(|i| view.apply(&info(&format!("n{i}")), MemberState::Alive, at(24_000)));
+    view.next_heartbeats(0, at(24_000));
+    assert_eq!(view.fleet_size(at(24_000)), Some(5));
+}
+
 #[test]
 fn update_that_was_never_sent_is_kept_when_too_many_wait() {
     let leaving = |i: usize| Update::Leaving {
--- a/fakes/src/list/mod.rs
+++ b/fakes/src/list/mod.rs
@@ -65,7 +65,12 @@
         let visible = entries.iter().take_while(|(at, _)| at.elapsed() >= lag);
         let changed: Vec<ListedInstance> =
             visible.skip(since as usize).map(|(_, l)| l.clone()).collect();
-        ListChanges { version: since + changed.len() as u64, changed }
+        ListChanges {
+            version: since + changed.len() as u64,
+            changed,
+            removed: Vec::new(),
+            complete: since == 0,
+        }
     }
 }
 
--- a/node/src/app/admission.rs
+++ b/node/src/app/admission.rs
@@ -51,7 +51,7 @@
     pub fn take_resend(
         &mut self,
         service: &ModelId,
-        instances: u32,
+        instances: Option<u32>,
         count: u32,
         now: Time,
     ) -> bool {
@@ -65,7 +65,7 @@
 
     /// Returns the number of resends that one of `instances` may make now, summed over all
     /// services.
-    pub fn resends_left(&self, instances: u32, now: Time) -> i64 {
+    pub fn resends_left(&self, instances: Option<u32>, now: Time) -> i64 {
         self.resends.values().map(|b| b.remaining(&self.resend_limit, instances, now)).sum()
     }
 
--- a/node/src/follow/list.rs
+++ b/node/src/follow/list.rs
@@ -2,14 +2,14 @@
     crate::{
         app::App,
         mesh,
-        ports::{ListKind, ListState, ListedInstance},
+        ports::{ListChanges, ListKind, ListState, ListedInstance},
     },
     lentil_core::{
         ids::{EngineId, Incarnation, InstanceId},
         limit::Backoff,
         mesh::Update,
     },
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -28,6 +28,7 @@
 /// that they get no new work.
 pub async fn follow_list(app: Arc<App>) {
     let (mut version, mut reads) = (0, 0);
+    let mut entries = BTreeSet::new();
     let mut backoff = Backoff::new(POLL_INTERVAL, MAX_BACKOFF);
     loop {
         match app.ports.list.changes(version).await {
@@ -39,6 +40,9 @@
                 backoff.record_success();
                 version = changes.version;
                 reads += 1;
+                update_entries(&mut entries, &changes);
+                let count = entries.len() as u32;
+                app.member_view().record_listed(count, app.now());
                 for listed in &changes.changed {
                     apply(&app, listed).await;
                 }
@@ -50,6 +54,22 @@
     }
 }
 
+/// Applies changes of the list to the set of instances that run lentilgrade.
+fn update_entries(entries: &mut BTreeSet<String>, changes: &ListChanges) {
+    if changes.complete {
+        entries.clear();
+    }
+    changes.removed.iter().for_each(|id| {
+        entries.remove(id);
+    });
+    for listed in changes.changed.iter().filter(|l| l.kind == ListKind::Entry) {
+        match listed.state {
+            ListState::Gone => entries.remove(&listed.id),
+            ListState::Live | ListState::Leaving => entries.insert(listed.id.clone()),
+        };
+    }
+}
+
 async fn apply(app: &Arc<App>, listed: &ListedInstance) {
     match listed.kind {
         ListKind::Entry => apply_entry(app, listed).await,
--- a/node/src/ports/list.rs
+++ b/node/src/ports/list.rs
@@ -59,6 +59,12 @@
     pub version: u64,
     /// Changed instances in their current state.
     pub changed: Vec<ListedInstance>,
+    /// Ids of instances whose entries are gone. This does not prove that their processes are.
+    #[serde(default)]
+    pub removed: Vec<String>,
+    /// Whether `changed` is the whole list.
+    #[serde(default)]
+    pub complete: bool,
 }
 
 /// Client for the platform's instance list, which may lag behind the actual instances.
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -39,9 +39,9 @@
         app.metrics.roles.with_label_values(&[&role.to_string()]).set(count);
     }
     let now = app.now();
-    let (members, dropped) = {
+    let (members, size, dropped) = {
         let view = app.member_view();
-        (view.live().count(), view.dropped_updates())
+        (view.live().count(), view.fleet_size(now), view.dropped_updates())
     };
     let (known, ejected, age) = {
         let fleet = app.fleet();
@@ -53,7 +53,7 @@
     app.metrics.ejected_targets.set(ejected as i64);
     app.metrics.directory_age.set(age as i64);
     app.metrics.retain_targets(|target| known.contains(target));
-    app.metrics.resends_left.set(app.admission().resends_left(members as u32 + 1, now));
+    app.metrics.resends_left.set(app.admission().resends_left(size, now));
     app.metrics.resident_bytes.set(resident_bytes());
     app.metrics.members.set(members as i64);
     let (suspects, quarantined) = {
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -248,7 +248,7 @@
         if self.runs_sent + self.prefills_sent == 0 {
             return true;
         }
-        let instances = self.app.member_view().live().count() as u32 + 1;
+        let instances = self.app.member_view().fleet_size(now);
         // A prefilled prompt has to be prefilled again before it can run on another engine.
         let resends = 1 + u32::from(self.prefills_sent > 0);
         self.app.admission().take_resend(&self.request.routing.model, instances, resends, now)
