Quarantined requests are kept in the platform's store

Cause: the quarantine lived in the memory of the instances only, and many or all of them may be killed at the same moment. What must last lies in the platform's store.

The mesh does the rest as before.

--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -36,7 +36,7 @@
     },
     tokio::{
         net::UdpSocket,
-        sync::{watch, Semaphore},
+        sync::{watch, Notify, Semaphore},
     },
 };
 
@@ -100,6 +100,8 @@
     fleet: Mutex<Fleet>,
     cache_index: Mutex<CacheIndex>,
     admission: Mutex<Admission>,
+    /// Notified when this instance has found a request to quarantine.
+    pub quarantine_found: Notify,
     quarantine: Mutex<Quarantine>,
     /// When another instance's quarantine was last requested.
     quarantine_pull: Mutex<Option<Time>>,
@@ -151,6 +153,7 @@
             routes: RwLock::default(),
             fleet: Mutex::default(),
             cache_index: Mutex::default(),
+            quarantine_found: Notify::new(),
             quarantine: Mutex::default(),
             quarantine_pull: Mutex::default(),
             investigations: Mutex::default(),
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -80,6 +80,7 @@
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
         tokio::spawn(follow::follow_routes(app.clone(), directory)),
         tokio::spawn(control::run_controllers(app.clone())),
+        tokio::spawn(follow::persist_quarantine(app.clone())),
     ];
     log::info!("daemon: start instance={} listen={}", app.identity, app.settings.listen);
     stop.await;
--- a/node/src/daemon/serve.rs
+++ b/node/src/daemon/serve.rs
@@ -91,6 +91,7 @@
         tokio::spawn(follow::follow_engines(app.clone())),
         tokio::spawn(control::report_demand(app.clone())),
         tokio::spawn(control::run_controllers(app.clone())),
+        tokio::spawn(follow::persist_quarantine(app.clone())),
     ];
     log::info!("daemon: instance {} listening on {}", app.identity, app.settings.listen);
     stop.await;
--- a/node/src/follow/mod.rs
+++ b/node/src/follow/mod.rs
@@ -4,6 +4,7 @@
 mod engines;
 mod list;
 mod manifest;
+mod quarantine;
 mod relay;
 mod routes;
 mod targets;
@@ -12,6 +13,7 @@
     engines::follow_engines,
     list::follow_list,
     manifest::{follow_manifest, pull_manifest, read_manifest, MANIFEST_KEY},
+    quarantine::persist_quarantine,
     routes::follow_routes,
     targets::follow_targets,
 };
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -5,7 +5,7 @@
         clock::Time,
         ids::{Fingerprint, Millis},
         mesh::{CrashNote, Message, Update},
-        poison::{Crash, QuarantineDigest},
+        poison::{Crash, QuarantineDigest, RunPermission},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -22,6 +22,10 @@
             "poison: request {fingerprint} ran on engine {} as it crashed",
             note.crash.engine
         );
+        let permission = app.quarantine().permission(fingerprint, app.now());
+        if permission == RunPermission::Quarantined {
+            app.quarantine_found.notify_one();
+        }
         let members: Vec<_> = {
             let view = app.member_view();
             view.live().map(|m| (m.info.address, m.info.id.clone())).collect()
