--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -288,11 +288,13 @@
     }
 
     /// Returns whether this instance should get requests: it is serving and, if hosted, knows
-    /// routes and targets; otherwise its manifest is as recent as any reported by other instances.
+    /// routes, targets and the number of instances; otherwise its manifest is as recent as any reported by other instances.
     pub fn ready(&self) -> bool {
         let serving = *self.phase.borrow() == Phase::Serving;
         if self.settings.hosted.is_some() {
-            return serving && self.routes().is_ok() && !self.fleet().engines.is_empty();
+            let knows_peers = self.member_view().fleet_size(self.now()).is_some();
+            let knows_targets = !self.fleet().engines.is_empty();
+            return serving && self.routes().is_ok() && knows_targets && knows_peers;
         }
         let revision = self.revision();
         serving && revision.0 > 0 && revision >= *lock(&self.latest_revision)
