The quarantine is asked again before a prefilled request is decoded

Cause: permission was asked when engines were chosen, and the decode engine is chosen a second time after the prefill without asking. Fix: it is asked there too; a quarantined request takes no resend from the allowance.

--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -62,6 +62,10 @@
             Err(fault) => return AttemptEnd::Failed(fault),
         };
         if export.is_some() {
+            // Other runs of the request may have crashed targets during the prefill.
+            if let Err(fault) = self.task.run_permission(self.task.app.now()) {
+                return AttemptEnd::Failed(fault);
+            }
             self.choice.decode = self.task.choose_decode(&self.choice.decode);
         }
         let cache = export.as_ref().and_then(Export::source).or_else(|| self.kv_source.clone());
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -40,19 +40,26 @@
         }
     }
 
+    /// Returns whether the request must run in isolation.
+    ///
+    /// # Errors
+    /// [`ErrorKind::Quarantined`] if it may not run at all.
+    pub(super) fn run_permission(&self, now: Time) -> Result<RunPermission, Fault> {
+        match self.app.quarantine().permission(self.request.fingerprint, now) {
+            RunPermission::Quarantined => {
+                let text = "the request has crashed two targets";
+                Err(Fault::new(ErrorKind::Quarantined, text))
+            }
+            permission => Ok(permission),
+        }
+    }
+
     /// Chooses engines and records what will be sent to them, under the locks of the shared tables.
     pub(super) fn choose(&mut self, attempts: u32) -> Result<EngineChoice, Fault> {
         let app = self.app.clone();
         let now = app.now();
-        // Bound first: in the match itself the lock would be held until its end.
-        let permission = app.quarantine().permission(self.request.fingerprint, now);
-        match permission {
-            RunPermission::Clear => {}
-            RunPermission::Isolate => return self.choose_isolated(now),
-            RunPermission::Quarantined => {
-                let text = "the request has crashed two targets";
-                return Err(Fault::new(ErrorKind::Quarantined, text));
-            }
+        if self.run_permission(now)? == RunPermission::Isolate {
+            return self.choose_isolated(now);
         }
         let origin = self.origin();
         let mut routing = self.request.routing.clone();
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -154,7 +154,8 @@
                 AttemptEnd::CallerGone => return self.caller_left(),
                 AttemptEnd::Migrated(choice, kv_source) => migration = Some((choice, kv_source)),
                 AttemptEnd::Failed(fault) => {
-                    if attempts >= MAX_ATTEMPTS || !self.may_retry(&fault) {
+                    let quarantined = fault.kind == ErrorKind::Quarantined;
+                    if quarantined || attempts >= MAX_ATTEMPTS || !self.may_retry(&fault) {
                         return self.fail(fault).await;
                     }
                     self.app.metrics.retries.inc();
