Fault soak: a request that crashes each target that runs it

One caller sends it to random instances all the time; crashed targets are down for 1.5 s and start again under their id. Violation: more than three resends that reach targets later than 4 s after the third crash.

--- a/daemon/tests/fault_injection/callers.rs
+++ b/daemon/tests/fault_injection/callers.rs
@@ -1,5 +1,5 @@
 use {
-    crate::platform::{request, Caller, Message},
+    crate::platform::{request, Caller, Message, POISON},
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::{
         net::SocketAddr,
@@ -9,7 +9,12 @@
         },
         time::Duration,
     },
-    tokio::{net::TcpStream, task::JoinSet, time::sleep},
+    tokio::{
+        io::AsyncWriteExt,
+        net::TcpStream,
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
 };
 
 /// Number of concurrent callers.
@@ -60,6 +65,8 @@
             let task = run_caller(i, rng, addresses.clone(), history, callers.stopping.clone());
             callers.tasks.spawn(task);
         }
+        let rng = StdRng::seed_from_u64(seed * 1_000 + CALLERS);
+        callers.tasks.spawn(send_poison(rng, addresses, callers.stopping.clone()));
         callers
     }
 
@@ -107,7 +114,7 @@
             RouteKind::NonResumableStream,
         ][rng.gen_range(0..4)];
         let text = request("POST", kind.path(), &id, "", &id);
-        let sent = tokio::io::AsyncWriteExt::write_all(&mut caller.stream, text.as_bytes()).await;
+        let sent = caller.stream.write_all(text.as_bytes()).await;
         let response = if sent.is_ok() { caller.read_response().await } else { None };
         let reusable = response
             .as_ref()
@@ -119,3 +126,23 @@
         sleep(Duration::from_millis(rng.gen_range(2..30))).await;
     }
 }
+
+/// Sends the same request, which crashes each target that runs it, to random instances until
+/// `stopping` is set.
+async fn send_poison(mut rng: StdRng, addresses: Vec<SocketAddr>, stopping: Arc<AtomicBool>) {
+    for count in 0_u64.. {
+        if stopping.load(Ordering::Relaxed) {
+            return;
+        }
+        let address = addresses[rng.gen_range(0..addresses.len())];
+        if let Ok(stream) = TcpStream::connect(address).await {
+            let text = request("POST", "/safe/a", &format!("poison{count}"), "", POISON);
+            let mut caller = Caller::from(stream);
+            if caller.stream.write_all(text.as_bytes()).await.is_ok() {
+                // The caller does not wait for the answer of a paused instance.
+                let _ = timeout(Duration::from_secs(1), caller.read_response()).await;
+            }
+        }
+        sleep(Duration::from_millis(rng.gen_range(50..500))).await;
+    }
+}
--- a/daemon/tests/fault_injection/check.rs
+++ b/daemon/tests/fault_injection/check.rs
@@ -1,11 +1,28 @@
 use {
     super::callers::{Exchange, RouteKind},
-    crate::platform::{all_events, event, Message, STREAM_EVENTS},
-    std::collections::HashMap,
+    crate::platform::{all_events, event, Message, POISON, STREAM_EVENTS},
+    std::{
+        collections::HashMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Minimum share of the requests after the last fault that must be served.
 const MIN_SERVED_SHARE: f64 = 0.95;
+/// Time after the third crash under a request from which its resends count.
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
+/// Most such resends that may reach targets.
+const MAX_LATE_RESENDS: usize = 3;
+
+/// Returns a violation if a request that crashes targets was sent to them for too long;
+/// `poisonings` says when it reached targets, in order.
+pub fn check_poison(poisonings: &[Instant]) -> Option<String> {
+    let third = *poisonings.get(2)?;
+    let late = poisonings.iter().filter(|t| **t > third + STABLE_WINDOW).count();
+    (late > MAX_LATE_RESENDS).then(|| {
+        format!("{late} late resends of {} of a request that crashes targets", poisonings.len())
+    })
+}
 
 /// Compares what callers received with what targets ran; returns a line for each violation.
 ///
@@ -21,7 +38,7 @@
         violations.extend(check_exchange(exchange, run_count));
     }
     let known: std::collections::HashSet<&str> = history.iter().map(|e| e.id.as_str()).collect();
-    for run in runs {
+    for run in runs.iter().filter(|run| run.text() != POISON) {
         let id = run.header("request-id").unwrap_or("");
         if !known.contains(id) || run.text() != id {
             violations.push(format!(
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -14,7 +14,7 @@
         process::{Child, Command},
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{task::JoinSet, time::sleep},
 };
 
 /// A process of the real program and its proxy to the store.
@@ -40,8 +40,13 @@
     folder: PathBuf,
     /// Number in the id of the last target added.
     last_target: u64,
+    /// Tasks that restart crashed targets.
+    restarts: JoinSet<()>,
 }
 
+/// Time that a crashed target is down.
+const DOWN_TIME: Duration = Duration::from_millis(1_500);
+
 impl Instance {
     fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
@@ -106,6 +111,7 @@
             config_version: 1,
             folder,
             last_target: 1,
+            restarts: JoinSet::new(),
         };
         for _ in 0..targets {
             fleet.add_target().await;
@@ -152,6 +158,7 @@
         self.last_target += 1;
         let runner = Runner::start(&format!("i-{}", self.last_target)).await;
         let link = Proxy::start(runner.address).await;
+        self.restarts.spawn(restart_crashed(runner.clone(), link.address, self.store.clone()));
         self.targets.push(runner);
         self.links.push(link);
         self.register(self.targets.len() - 1, "ready");
@@ -160,11 +167,7 @@
     /// Writes the directory entry of a target, with the address of its proxy.
     pub fn register(&self, target: usize, state: &str) {
         let (runner, link) = (&self.targets[target], &self.links[target]);
-        let entry = json!({
-            "service": "s", "address": link.address, "zone": "z", "version": "v1", "slots": 8,
-            "state": state, "cold_remaining_ms": 0, "seq_no": 1, "born": 1,
-        });
-        self.store.put(&format!("servers/{}", runner.id), entry.to_string());
+        register(runner, link.address, state, &self.store);
     }
 
     /// Writes the same routes under a newer version.
@@ -199,6 +202,13 @@
         self.targets.iter().flat_map(Runner::runs).collect()
     }
 
+    /// When requests that crash targets reached them, in order.
+    pub fn poisonings(&self) -> Vec<Instant> {
+        let mut times: Vec<Instant> = self.targets.iter().flat_map(Runner::poisonings).collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Folder with the settings and logs of the instances.
     pub fn folder(&self) -> &PathBuf {
         &self.folder
@@ -209,3 +219,22 @@
         self.instances.clear();
     }
 }
+
+fn register(runner: &Runner, address: SocketAddr, state: &str, store: &Store) {
+    let entry = json!({
+        "service": "s", "address": address, "zone": "z", "version": "v1", "slots": 8,
+        "state": state, "cold_remaining_ms": 0, "seq_no": 1, "born": runner.born(),
+    });
+    store.put(&format!("servers/{}", runner.id), entry.to_string());
+}
+
+/// Restarts a target each time that it has crashed; a draining one is then ready again.
+async fn restart_crashed(runner: Runner, address: SocketAddr, store: Store) {
+    loop {
+        if runner.crashes().last().is_some_and(|at| runner.is_down() && at.elapsed() >= DOWN_TIME) {
+            runner.restart().await;
+            register(&runner, address, "ready", &store);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -58,13 +58,16 @@
     sleep(Duration::from_secs(2)).await;
     let history = callers.stop().await;
     let runs = fleet.runs();
-    let found = check::check(&history, &runs, recovered);
+    let poisonings = fleet.poisonings();
+    let mut found = check::check(&history, &runs, recovered);
+    found.extend(check::check_poison(&poisonings));
     let served = history.iter().filter(|e| check::is_served(e)).count();
     println!(
-        "soak: seed={seed} requests={} served={served} runs={} faults={}",
+        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={}",
         history.len(),
         runs.len(),
-        faults.len()
+        faults.len(),
+        poisonings.len()
     );
     if !found.is_empty() {
         faults.iter().for_each(|line| println!("soak: seed={seed} {line}"));
