A request can be quarantined again after its quarantine has ended

What callers saw: nothing yet; found while the quarantine was made to last. An hour after its last crash a request was clear, but its old crashes still filled the record, so that no new crash counted and nothing would have stopped it from then on. And the age of a crash that happened before an instance's start could not be expressed: each full restart began the hour anew.

Fix: the record holds when the restriction ends; an ended one is replaced by the next crash, and an old crash from the store or another instance is taken over with its age, or ignored.

Evidence: request_is_quarantined_again_after_its_quarantine_has_ended fails before (Clear instead of Quarantined).

--- a/core/src/clock/time.rs
+++ b/core/src/clock/time.rs
@@ -62,14 +62,6 @@
     }
 }
 
-impl Sub<Duration> for Time {
-    type Output = Self;
-    /// Returns the time `span` earlier, or the origin if that would lie before it.
-    fn sub(self, span: Duration) -> Self {
-        Self(self.0.saturating_sub(span.as_micros() as u64))
-    }
-}
-
 impl Sub for Time {
     type Output = Duration;
     /// Returns the time elapsed since `earlier`, or zero if `earlier` is later than `self`.
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -58,7 +58,20 @@
 #[derive(Debug, Clone)]
 struct Suspect {
     crashes: SmallVec<[Crash; MAX_LOST_TARGETS]>,
-    last_crash: Time,
+    /// When the restriction ends, [`SUSPECT_RETENTION`] after the last crash. The time of the crash
+    /// itself may lie before the start of this process.
+    ends: Time,
+}
+
+impl Suspect {
+    fn is_quarantined(&self) -> bool {
+        self.crashes.len() >= MAX_LOST_TARGETS
+    }
+
+    /// Returns the time since its last crash.
+    fn age(&self, now: Time) -> Duration {
+        SUSPECT_RETENTION.saturating_sub(self.ends - now)
+    }
 }
 
 /// Fingerprints of requests that were running on targets when these crashed.
@@ -70,10 +83,10 @@
 impl Quarantine {
     /// Returns how requests with `fingerprint` may run at `now`.
     pub fn permission(&self, fingerprint: Fingerprint, now: Time) -> RunPermission {
-        match self.suspects.get(&fingerprint).filter(|s| now - s.last_crash < SUSPECT_RETENTION) {
+        match self.suspects.get(&fingerprint).filter(|s| s.ends > now) {
             None => RunPermission::Clear,
-            Some(s) if s.crashes.len() < MAX_LOST_TARGETS => RunPermission::Isolate,
-            Some(_) => RunPermission::Quarantined,
+            Some(s) if s.is_quarantined() => RunPermission::Quarantined,
+            Some(_) => RunPermission::Isolate,
         }
     }
 
@@ -82,15 +95,32 @@
     /// A crash counts once even if several instances report it, so their reports can be merged in
     /// any order.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: Time) -> bool {
-        let suspect = self
-            .suspects
-            .entry(fingerprint)
-            .or_insert_with(|| Suspect { crashes: SmallVec::new(), last_crash: now });
-        if suspect.crashes.contains(&crash) || suspect.crashes.len() >= MAX_LOST_TARGETS {
+        self.record_past_crash(fingerprint, crash, Duration::ZERO, now)
+    }
+
+    /// Like [`record_crash`](Self::record_crash), for a crash that happened `age` ago. One that is
+    /// older than the retention is ignored.
+    pub fn record_past_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: Crash,
+        age: Duration,
+        now: Time,
+    ) -> bool {
+        let ends = now + SUSPECT_RETENTION.saturating_sub(age);
+        if ends <= now {
+            return false;
+        }
+        let fresh = || Suspect { crashes: SmallVec::new(), ends };
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(fresh);
+        if suspect.ends <= now {
+            *suspect = fresh();
+        }
+        if suspect.crashes.contains(&crash) || suspect.is_quarantined() {
             return false;
         }
         suspect.crashes.push(crash);
-        suspect.last_crash = suspect.last_crash.max(now);
+        suspect.ends = suspect.ends.max(ends);
         self.trim();
         true
     }
@@ -98,19 +128,17 @@
     /// Removes a fingerprint whose isolated run has completed: it ran on the target beside the
     /// request that caused the crash. A quarantined fingerprint stays.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
-        let is_isolated = |s: &Suspect| s.crashes.len() < MAX_LOST_TARGETS;
+        let is_isolated = |s: &Suspect| !s.is_quarantined();
         if self.suspects.get(&fingerprint).is_some_and(is_isolated) {
             self.suspects.remove(&fingerprint);
         }
     }
 
-    /// Returns the quarantined fingerprints with their crashes and the time of the last one.
-    pub fn entries(&self, now: Time) -> impl Iterator<Item = (Fingerprint, &[Crash], Time)> {
-        let held = move |s: &Suspect| {
-            s.crashes.len() >= MAX_LOST_TARGETS && now - s.last_crash < SUSPECT_RETENTION
-        };
+    /// Returns the quarantined fingerprints with their crashes and the time since the last one.
+    pub fn entries(&self, now: Time) -> impl Iterator<Item = (Fingerprint, &[Crash], Duration)> {
+        let held = move |s: &Suspect| s.is_quarantined() && s.ends > now;
         let entries = self.suspects.iter().filter(move |(_, s)| held(s));
-        entries.map(|(fingerprint, s)| (*fingerprint, s.crashes.as_slice(), s.last_crash))
+        entries.map(move |(fingerprint, s)| (*fingerprint, s.crashes.as_slice(), s.age(now)))
     }
 
     /// Returns the digest of the quarantined fingerprints; their crashes do not count, as two
@@ -122,13 +150,13 @@
 
     /// Returns the targets that suspects have crashed within the last 30 seconds.
     pub fn recently_crashed(&self, now: Time) -> BTreeSet<EngineId> {
-        let recent = self.suspects.values().filter(|s| now - s.last_crash < CRASHED_TARGET_REST);
+        let recent = self.suspects.values().filter(|s| s.age(now) < CRASHED_TARGET_REST);
         recent.flat_map(|s| s.crashes.iter().map(|c| c.engine.clone())).collect()
     }
 
     /// Returns the number of quarantined fingerprints.
     pub fn quarantined(&self) -> usize {
-        self.suspects.values().filter(|s| s.crashes.len() >= MAX_LOST_TARGETS).count()
+        self.suspects.values().filter(|s| s.is_quarantined()).count()
     }
 
     /// Returns the number of tracked fingerprints, isolated and quarantined.
@@ -145,7 +173,7 @@
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
-        let rank = |s: &Suspect| (s.crashes.len() >= MAX_LOST_TARGETS, s.last_crash);
+        let rank = |s: &Suspect| (s.is_quarantined(), s.ends);
         let oldest = self.suspects.iter().min_by_key(|(_, s)| rank(s)).map(|(p, _)| *p);
         if let Some(fingerprint) = oldest {
             self.suspects.remove(&fingerprint);
--- a/core/src/poison/tests.rs
+++ b/core/src/poison/tests.rs
@@ -114,3 +114,14 @@
     let permission = quarantine.permission(FINGERPRINT, Time::ZERO);
     assert_eq!(permission, RunPermission::Quarantined);
 }
+
+#[test]
+fn request_is_quarantined_again_after_its_quarantine_has_ended() {
+    let mut quarantine = Quarantine::default();
+    for start in [Time::ZERO, Time::ZERO + SUSPECT_RETENTION * 2] {
+        assert_eq!(quarantine.permission(FINGERPRINT, start), RunPermission::Clear);
+        quarantine.record_crash(FINGERPRINT, crash("a", 1), start);
+        quarantine.record_crash(FINGERPRINT, crash("b", 1), start);
+        assert_eq!(quarantine.permission(FINGERPRINT, start), RunPermission::Quarantined);
+    }
+}
--- a/node/src/follow/quarantine.rs
+++ b/node/src/follow/quarantine.rs
@@ -53,11 +53,11 @@
         let mut quarantine = app.quarantine();
         let mut known = Quarantine::default();
         for stored in &stored {
-            let at = now - Duration::from_millis(unix.0.saturating_sub(stored.at.0));
-            known.record_crash(stored.fingerprint, stored.crash.clone(), at);
-            if quarantine.record_crash(stored.fingerprint, stored.crash.clone(), at) {
-                let (engine, request) = (&stored.crash.engine, stored.fingerprint);
-                log::info!("poison: target={engine} verdict=stored request={request}");
+            let age = Duration::from_millis(unix.0.saturating_sub(stored.at.0));
+            let (request, crash) = (stored.fingerprint, &stored.crash);
+            known.record_past_crash(request, crash.clone(), age, now);
+            if quarantine.record_past_crash(request, crash.clone(), age, now) {
+                log::info!("poison: target={} verdict=stored request={request}", crash.engine);
             }
         }
         if quarantine.digest(now) == known.digest(now) {
@@ -65,8 +65,8 @@
         }
         let mut crashes: Vec<StoredCrash> = quarantine
             .entries(now)
-            .flat_map(|(fingerprint, crashes, last)| {
-                let at = Millis(unix.0.saturating_sub((now - last).as_millis() as u64));
+            .flat_map(|(fingerprint, crashes, age)| {
+                let at = Millis(unix.0.saturating_sub(age.as_millis() as u64));
                 crashes.iter().map(move |c| StoredCrash { fingerprint, crash: c.clone(), at })
             })
             .collect();
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -48,8 +48,8 @@
 /// Records a crash, and queues it for gossip if it is new.
 fn record_crash(app: &App, note: &CrashNote, now: Time) -> bool {
     let CrashNote { fingerprint, crash, age } = note.clone();
-    let at = now - age.duration();
-    let is_new = app.quarantine().record_crash(fingerprint, crash.clone(), at);
+    let is_new =
+        app.quarantine().record_past_crash(fingerprint, crash.clone(), age.duration(), now);
     if is_new {
         app.member_view().queue_update(Update::Crashed { fingerprint, crash });
     }
@@ -83,8 +83,8 @@
 pub(super) fn quarantine_notes(app: &App) -> Vec<CrashNote> {
     let now = app.now();
     let quarantine = app.quarantine();
-    let notes = quarantine.entries(now).flat_map(|(fingerprint, crashes, last)| {
-        let age = Millis((now - last).as_millis() as u64);
+    let notes = quarantine.entries(now).flat_map(|(fingerprint, crashes, age)| {
+        let age = Millis(age.as_millis() as u64);
         crashes.iter().map(move |crash| CrashNote { fingerprint, crash: crash.clone(), age })
     });
     notes.collect()
