The quarantine is stored also if two instances found one crash each

Cause: only the instance that found the second crash, knowing the first, stored the quarantine; if two found one crash each at the same time, both learned of the other's by its report, and neither stored it. Fix: an instance that found one of the crashes stores the quarantine when it learns of the second, however it does; these are a few at most.

Evidence: quarantine_is_stored_if_two_instances_found_one_crash_each fails before (not stored within a minute).

--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -61,6 +61,8 @@
     /// When the restriction ends, [`SUSPECT_RETENTION`] after the last crash. The time of the crash
     /// itself may lie before the start of this process.
     ends: Time,
+    /// Whether this instance found one of the crashes itself.
+    found: bool,
 }
 
 impl Suspect {
@@ -111,7 +113,7 @@
         if ends <= now {
             return false;
         }
-        let fresh = || Suspect { crashes: SmallVec::new(), ends };
+        let fresh = || Suspect { crashes: SmallVec::new(), ends, found: false };
         let suspect = self.suspects.entry(fingerprint).or_insert_with(fresh);
         if suspect.ends <= now {
             *suspect = fresh();
@@ -148,6 +150,19 @@
         QuarantineDigest(fingerprints.fold(0, |digest, fingerprint| digest ^ fingerprint))
     }
 
+    /// Marks a fingerprint as one of whose crashes this instance has found itself.
+    pub fn mark_found(&mut self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.found = true;
+        }
+    }
+
+    /// Returns whether a fingerprint is quarantined and this instance found one of its crashes. A
+    /// few instances at most do so; they store the quarantine for all.
+    pub fn is_found(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|s| s.found && s.is_quarantined())
+    }
+
     /// Returns the targets that suspects have crashed within the last 30 seconds.
     pub fn recently_crashed(&self, now: Time) -> BTreeSet<EngineId> {
         let recent = self.suspects.values().filter(|s| s.age(now) < CRASHED_TARGET_REST);
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -11,6 +11,7 @@
         deployment::{eventually, Deployment, DeploymentSetup, Instance, CAMERA_KEY},
         engine::{expected_answer, EngineSetup, POISON},
     },
+    lentil_node::mesh::report_crash,
     std::{
         net::SocketAddr,
         sync::{
@@ -160,3 +161,22 @@
     let all_know = move || apps.iter().all(|a| a.quarantine().quarantined() == 1);
     eventually("all instances know", all_know).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn quarantine_is_stored_if_two_instances_found_one_crash_each() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
+    let seen = apps.clone();
+    let all_seen = move || seen.iter().all(|a| a.member_view().live().count() == 1);
+    eventually("the instances know each other", all_seen).await;
+    let [first, second] =
+        ["e0", "e1"].map(|engine| Crash { engine: engine.parse().unwrap(), boot: Incarnation(1) });
+    tokio::join!(
+        report_crash(&apps[0], Fingerprint(7), first),
+        report_crash(&apps[1], Fingerprint(7), second),
+    );
+    let stored = || deployment.kv.value("quarantine").is_some();
+    eventually("the quarantine is stored", stored).await;
+}
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -5,7 +5,7 @@
         clock::Time,
         ids::{Fingerprint, Millis},
         mesh::{CrashNote, Message, Update},
-        poison::{Crash, QuarantineDigest, RunPermission},
+        poison::{Crash, QuarantineDigest},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -22,10 +22,8 @@
             "poison: request {fingerprint} ran on engine {} as it crashed",
             note.crash.engine
         );
-        let permission = app.quarantine().permission(fingerprint, app.now());
-        if permission == RunPermission::Quarantined {
-            app.quarantine_found.notify_one();
-        }
+        app.quarantine().mark_found(fingerprint);
+        store_if_found(app, fingerprint);
         let members: Vec<_> = {
             let view = app.member_view();
             view.live().map(|m| (m.info.address, m.info.id.clone())).collect()
@@ -42,6 +40,13 @@
     if record_crash(app, note, now) {
         let (engine, fingerprint) = (&note.crash.engine, note.fingerprint);
         log::info!("poison: target={engine} verdict=reported request={fingerprint}");
+        store_if_found(app, fingerprint);
+    }
+}
+
+fn store_if_found(app: &App, fingerprint: Fingerprint) {
+    if app.quarantine().is_found(fingerprint) {
+        app.quarantine_found.notify_one();
     }
 }
 
