A crash that another instance reports with its age is not gossiped as a new one

Cause: an instance that pulled a quarantine gossiped its crashes, and gossip has no age: an instance whose entry had just ended took them for new, and the quarantine began anew each hour. Fix: only a crash that has just happened is gossiped; digests spread the others with their age.

Evidence: crash_of_long_ago_is_not_gossiped_as_a_new_one fails before (both crashes queued).

--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -77,7 +77,7 @@
     pub fingerprint: Fingerprint,
     /// Target that crashed, with its incarnation.
     pub crash: Crash,
-    /// Time since the sender recorded it.
+    /// Time since the crash; zero in the first report of it.
     pub age: Millis,
 }
 
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -4,7 +4,8 @@
 use {
     lentil_core::{
         ids::{Fingerprint, Incarnation, Revision},
-        poison::Crash,
+        mesh::Update,
+        poison::{Crash, RunPermission, SUSPECT_RETENTION},
     },
     lentil_fakes::{
         client::{CallOutcome, Caller, CompletionRequest},
@@ -162,6 +163,27 @@
     eventually("all instances know", all_know).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_of_long_ago_is_not_gossiped_as_a_new_one() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let app = &instances[0].app;
+    let age = SUSPECT_RETENTION - Duration::from_secs(5);
+    for engine in ["e0", "e1"] {
+        let crash = Crash { engine: engine.parse().unwrap(), boot: Incarnation(1) };
+        app.quarantine().record_past_crash(Fingerprint(7), crash, age, app.now());
+    }
+    let other = instances[1].app.clone();
+    let knows = move || other.quarantine().quarantined() == 1;
+    eventually("the other instance knows", knows).await;
+    let ends = instances[1].app.now() + Duration::from_secs(10);
+    let permissions = instances.iter().map(|i| i.app.quarantine().permission(Fingerprint(7), ends));
+    assert!(permissions.into_iter().all(|p| p == RunPermission::Clear));
+    let updates = instances[1].app.member_view().take_updates(64);
+    assert!(!updates.iter().any(|u| matches!(u, Update::Crashed { .. })), "{updates:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn quarantine_is_stored_if_two_instances_found_one_crash_each() {
     let deployment = Deployment::start(DeploymentSetup::default()).await;
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -50,12 +50,13 @@
     }
 }
 
-/// Records a crash, and queues it for gossip if it is new.
+/// Records a crash, and queues it for gossip if it has just happened. Older ones are spread by the
+/// digests: gossip has no age, and would begin the quarantine anew.
 fn record_crash(app: &App, note: &CrashNote, now: Time) -> bool {
     let CrashNote { fingerprint, crash, age } = note.clone();
     let is_new =
         app.quarantine().record_past_crash(fingerprint, crash.clone(), age.duration(), now);
-    if is_new {
+    if is_new && age == Millis(0) {
         app.member_view().queue_update(Update::Crashed { fingerprint, crash });
     }
     is_new
