--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -194,9 +194,11 @@
         self.updates.retain(|(queued, _)| !same_subject(queued, &update));
         self.updates.push((update, UPDATE_SENDS));
         if self.updates.len() > MAX_PENDING_UPDATES {
-            let most_sent = (0..self.updates.len()).min_by_key(|i| self.updates[*i].1);
-            most_sent.map(|i| self.updates.remove(i));
-            self.dropped += 1;
+            let sends_left = |i: &usize| self.updates[*i].1;
+            if let Some(most_sent) = (0..self.updates.len()).min_by_key(sends_left) {
+                self.updates.remove(most_sent);
+                self.dropped += 1;
+            }
         }
     }
 
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -288,7 +288,8 @@
     }
 
     /// Returns whether this instance should get requests: it is serving and, if hosted, knows
-    /// routes, targets and the number of instances; otherwise its manifest is as recent as any reported by other instances.
+    /// routes, targets and the number of instances; otherwise its manifest is as recent as any
+    /// reported by other instances.
     pub fn ready(&self) -> bool {
         let serving = *self.phase.borrow() == Phase::Serving;
         if self.settings.hosted.is_some() {
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -1,7 +1,10 @@
 use {
     super::task::{Target, Task},
     crate::{app::App, mesh::report_crash, ports::EngineError},
-    futures_util::{future::Shared, FutureExt},
+    futures_util::{
+        future::{BoxFuture, Shared},
+        FutureExt,
+    },
     lentil_core::{
         clock::Time,
         ids::{EngineId, Fingerprint, Incarnation},
@@ -19,7 +22,7 @@
 /// silences are usual while prompts queue.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
-type PendingVerdict = Shared<futures_util::future::BoxFuture<'static, Verdict>>;
+type PendingVerdict = Shared<BoxFuture<'static, Verdict>>;
 
 /// Investigations in progress. All requests that failed on a target share one.
 #[derive(Default)]
@@ -126,27 +129,27 @@
     let key = (target.id.clone(), target.boot);
     let start = || {
         let (app, target) = (app.clone(), target.clone());
-        async move { find_verdict(&app, &target).await }.boxed().shared()
+        async move {
+            let verdict = probe(&app, &target).await;
+            app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
+            verdict
+        }
+        .boxed()
+        .shared()
     };
     investigations.0.entry(key).or_insert_with(start).clone()
 }
 
 /// Finds out whether the engine's process is gone or was replaced by another. A broken connection
 /// alone is not a crash.
-async fn find_verdict(app: &App, target: &Target) -> Verdict {
-    let mut verdict = Verdict::Silent;
+async fn probe(app: &App, target: &Target) -> Verdict {
     for _ in 0..CRASH_PROBES {
         match app.ports.engines.report(target.address).await {
-            Ok(report) if target.may_be(report.boot) => verdict = Verdict::Alive,
-            Ok(_) | Err(EngineError::NotSent(_)) => verdict = Verdict::Crashed,
+            Ok(report) if target.may_be(report.boot) => return Verdict::Alive,
+            Ok(_) | Err(EngineError::NotSent(_)) => return Verdict::Crashed,
             // The port of a dying process may stay open for a while.
-            Err(_) => {
-                sleep(CRASH_PROBE_INTERVAL).await;
-                continue;
-            }
+            Err(_) => sleep(CRASH_PROBE_INTERVAL).await,
         }
-        break;
     }
-    app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
-    verdict
+    Verdict::Silent
 }
