--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -12,7 +12,7 @@
         deployment::{eventually, Deployment, DeploymentSetup, Instance, CAMERA_KEY},
         engine::{expected_answer, EngineSetup, POISON},
     },
-    lentil_node::mesh::report_crash,
+    lentil_node::{app::App, mesh::report_crash},
     std::{
         net::SocketAddr,
         sync::{
@@ -104,6 +104,12 @@
     tasks.join_all().await
 }
 
+/// Waits until each of two instances has the other in its view.
+async fn wait_acquainted(apps: &[Arc<App>]) {
+    let all_seen = || apps.iter().all(|a| a.member_view().live().count() == 1);
+    eventually("the instances know each other", all_seen).await;
+}
+
 /// Fingerprint of a [`completion`] of `text`.
 fn fingerprint(text: &str) -> Fingerprint {
     Fingerprint::of(&[b"vuurbol-groot", b"", text.as_bytes(), &40_u32.to_le_bytes()])
@@ -118,9 +124,7 @@
     deployment.apply_manifest(Revision(0)).await;
     let instances = deployment.start_instances(2).await;
     let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
-    let seen = apps.clone();
-    let all_seen = move || seen.iter().all(|a| a.member_view().live().count() == 1);
-    eventually("the instances know each other", all_seen).await;
+    wait_acquainted(&apps).await;
     for case in 0..8 {
         let (viewer, engine) = (case % 2, format!("e{}", case / 2));
         let mut calls = JoinSet::new();
@@ -190,9 +194,7 @@
     deployment.apply_manifest(Revision(0)).await;
     let instances = deployment.start_instances(2).await;
     let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
-    let seen = apps.clone();
-    let all_seen = move || seen.iter().all(|a| a.member_view().live().count() == 1);
-    eventually("the instances know each other", all_seen).await;
+    wait_acquainted(&apps).await;
     let [first, second] =
         ["e0", "e1"].map(|engine| Crash { engine: engine.parse().unwrap(), boot: Incarnation(1) });
     tokio::join!(
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -23,7 +23,7 @@
     /// If its part is empty, or has accepted no work for a while, it uses all engines.
     pub(super) fn choose_isolated(&mut self, now: Time) -> Result<EngineChoice, Fault> {
         self.release_isolated();
-        self.part_closed_since.get_or_insert(now);
+        self.closed_since.get_or_insert(now);
         let app = self.app.clone();
         let (rank, count) = {
             let view = app.member_view();
@@ -43,10 +43,10 @@
         let sound = serving.iter().map(|e| &e.id).filter(|id| !crashed.contains(*id));
         let part = isolation_part(sound, rank, count);
         if serving.iter().any(|e| part.contains(&e.id) && e.accepts_work(now)) {
-            self.part_closed_since = None;
+            self.closed_since = None;
         }
-        let any_part = part.is_empty()
-            || self.part_closed_since.is_some_and(|since| now - since >= OWN_PART_WAIT);
+        let any_part =
+            part.is_empty() || self.closed_since.is_some_and(|since| now - since >= OWN_PART_WAIT);
         let found = serving
             .iter()
             .filter(|e| e.accepts_work(now) && (any_part || part.contains(&e.id)))
@@ -62,7 +62,7 @@
         let decode = Target::from_view(engine);
         fleet.suspects.insert(id.clone());
         self.isolated = Some(id);
-        self.part_closed_since = None;
+        self.closed_since = None;
         Ok(EngineChoice { decode, prefill: None, prefill_tokens: prompt, fetch_from: None })
     }
 
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -54,7 +54,7 @@
     /// Engine reserved for this request while it is a crash suspect.
     pub(super) isolated: Option<EngineId>,
     /// Since when no engine for suspects of this instance accepts work.
-    pub(super) part_closed_since: Option<Time>,
+    pub(super) closed_since: Option<Time>,
     /// Target that has the request in work, and when it was sent there.
     pub(super) running_at: Option<(Target, Time)>,
     /// Run requests that reached a target.
@@ -114,7 +114,7 @@
             first_token: None,
             maybe_ran: false,
             isolated: None,
-            part_closed_since: None,
+            closed_since: None,
             running_at: None,
             runs_sent: 0,
             prefills_sent: 0,
