Rate limits that targets announce are read, logged and counted

Nothing showed whether an instance knows of a target's limit, so that limits applied by each instance alone could not be told from limits passed by requests that were chosen earlier. Requests are not limited yet.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::Time,
         ids::{AdapterId, EngineId, Incarnation, ModelId, Region, TokenRate, Tokens, Zone},
-        limit::Breaker,
+        limit::{AnnouncedLimit, Breaker},
         manifest::{EngineRates, EngineSpec, Role},
     },
     smallvec::SmallVec,
@@ -47,6 +47,8 @@
     pub load: LoadView,
     /// Circuit breaker that stops requests to it while it fails.
     pub breaker: Breaker,
+    /// Rate limit that it announces in its answers.
+    pub limit: AnnouncedLimit,
     /// True while it is leaving the fleet; it then gets no new work.
     pub leaving: bool,
     /// True while it is drained before an order; it then gets no new work.
@@ -72,6 +74,7 @@
             adapters: SmallVec::new(),
             load: LoadView::default(),
             breaker: Breaker::default(),
+            limit: AnnouncedLimit::default(),
             last_answer: Time::ZERO,
             leaving: false,
             draining: false,
@@ -100,6 +103,7 @@
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
             breaker: Breaker::default(),
+            limit: AnnouncedLimit::default(),
             last_answer: Time::ZERO,
             leaving: target.leaving,
             draining: false,
--- a/core/src/ids/amount.rs
+++ b/core/src/ids/amount.rs
@@ -7,6 +7,7 @@
         str::FromStr,
         time::Duration,
     },
+    thiserror::Error,
 };
 
 macro_rules! counts {
@@ -99,6 +100,57 @@
     }
 }
 
+/// Rate in requests per second; finite and not negative.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestRate(f64);
+
+/// Why a text or number is no rate of requests.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0:?} is not a number of requests per second")]
+pub struct RequestRateError(String);
+
+impl RequestRate {
+    /// Creates a rate of `per_second` requests.
+    ///
+    /// # Errors
+    /// [`RequestRateError`] if the number is negative, infinite or not a number.
+    pub fn new(per_second: f64) -> Result<Self, RequestRateError> {
+        match per_second.is_finite() && per_second >= 0.0 {
+            true => Ok(Self(per_second)),
+            false => Err(RequestRateError(per_second.to_string())),
+        }
+    }
+
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = RequestRateError;
+
+    /// Parses a decimal number.
+    ///
+    /// ```
+    /// use lentil_core::ids::RequestRate;
+    ///
+    /// assert_eq!("9.5".parse::<RequestRate>().unwrap().per_second(), 9.5);
+    /// assert!(["", "-1", "nan", "1e999"].iter().all(|t| t.parse::<RequestRate>().is_err()));
+    /// ```
+    fn from_str(text: &str) -> Result<Self, RequestRateError> {
+        let rate = text.trim().parse().ok().and_then(|number| Self::new(number).ok());
+        rate.ok_or_else(|| RequestRateError(text.to_owned()))
+    }
+}
+
 /// Rate in tokens per second.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/core/src/limit/mod.rs
+++ b/core/src/limit/mod.rs
@@ -1,12 +1,13 @@
 //! Back-off, circuit breaker, retry budget and resend budget, which limit the load that retries
-//! put on failing targets.
+//! put on failing targets, and the rate limits that targets announce.
 
+mod announced;
 mod backoff;
 mod breaker;
 mod resend;
 mod retry;
 
-pub use {backoff::*, breaker::*, resend::*, retry::*};
+pub use {announced::*, backoff::*, breaker::*, resend::*, retry::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -1,4 +1,7 @@
-use {super::*, crate::clock::Time};
+use {
+    super::*,
+    crate::{clock::Time, ids::RequestRate},
+};
 
 #[test]
 fn breaker_lets_one_probe_through() {
@@ -89,3 +92,35 @@
     (0..10).for_each(|_| budget.record_request(&limit, Time::ZERO));
     assert_eq!((0..20).filter(|_| budget.take(&limit, None, 1, Time::ZERO)).count(), 4);
 }
+
+fn rate(per_second: f64) -> Option<RequestRate> {
+    RequestRate::new(per_second).ok()
+}
+
+#[test]
+fn limit_is_lowered_by_any_answer_and_raised_by_later_requests_only() {
+    let at = Time::from_millis;
+    let mut limit = AnnouncedLimit::default();
+    assert!(limit.record(rate(10.0), at(0), at(100)));
+    assert!(
+        !limit.record(rate(20.0), at(50), at(110)),
+        "sent before the lower limit was announced"
+    );
+    assert_eq!(limit.rate(), rate(10.0));
+    assert!(limit.record(rate(5.0), at(40), at(120)));
+    assert!(limit.record(rate(20.0), at(121), at(130)));
+    assert_eq!((limit.rate(), limit.age(at(180)).as_millis()), (rate(20.0), 50));
+}
+
+#[test]
+fn limit_outlasts_an_older_answer_without_one() {
+    let at = Time::from_millis;
+    let mut limit = AnnouncedLimit::default();
+    assert!(!limit.record(None, at(0), at(1)));
+    assert!(limit.record(rate(10.0), at(2), at(100)));
+    assert!(!limit.record(rate(10.0), at(90), at(200)), "the same limit again");
+    assert!(!limit.record(None, at(150), at(210)));
+    assert_eq!(limit.rate(), rate(10.0));
+    assert!(limit.record(None, at(201), at(220)));
+    assert_eq!(limit.rate(), None);
+}
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod fleet;
 mod holders;
+mod limits;
 
 pub use {active_manifest::*, admission::*, clock::*, fleet::*, holders::*};
 
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -61,6 +61,8 @@
     pub known_targets: IntGauge,
     /// Targets with an open circuit breaker, which get no requests.
     pub ejected_targets: IntGauge,
+    /// Targets that announce a rate limit.
+    pub limited_targets: IntGauge,
     /// Milliseconds since this instance last read the directory or got its changes relayed.
     pub directory_age: IntGauge,
     /// Other instances that the failure detector considers alive.
@@ -165,6 +167,7 @@
                 "lentil_targets_shut_out",
                 "Targets without requests since they failed",
             ),
+            limited_targets: gauge("lentil_targets_limited", "Targets that announce a rate limit"),
             directory_age: gauge(
                 "lentil_directory_age_ms",
                 "Milliseconds since the directory told of targets",
--- a/node/src/ports/mod.rs
+++ b/node/src/ports/mod.rs
@@ -3,9 +3,10 @@
 
 mod directory;
 mod engine;
+mod limit;
 mod list;
 mod service;
 mod store;
 mod weights;
 
-pub use {directory::*, engine::*, list::*, service::*, store::*, weights::*};
+pub use {directory::*, engine::*, limit::*, list::*, service::*, store::*, weights::*};
