Mesh: what listens is apart from what sends

datagram, handlers, request and the crash reports imported one another in a circle. Listeners call handlers, handlers call senders, and nothing calls back. Sending to all members is one function. No change of behaviour.

--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -1,5 +1,5 @@
 use {
-    super::{request, send_datagram},
+    super::{broadcast, request},
     crate::app::App,
     lentil_core::{
         clock::Time,
@@ -24,14 +24,7 @@
         );
         app.quarantine().mark_found(fingerprint);
         store_if_found(app, fingerprint);
-        let members: Vec<_> = {
-            let view = app.member_view();
-            view.live().map(|m| (m.info.address, m.info.id.clone())).collect()
-        };
-        for (address, id) in members {
-            let message = Message::Crashes(vec![note.clone()]);
-            send_datagram(app, address, Some(id), message).await;
-        }
+        broadcast(app, Message::Crashes(vec![note])).await;
     }
 }
 
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         crash_news::{pull_quarantine, quarantine_notes, record_reported_crash},
-        datagram::send_heartbeat,
+        heartbeat::send_heartbeat,
     },
     crate::{
         app::{App, CellHolder},
--- a/node/src/mesh/datagram.rs
+++ b/node/src/mesh/heartbeat.rs
@@ -1,12 +1,12 @@
 use {
-    super::handlers,
+    super::send_datagram,
     crate::app::App,
     lentil_core::{
         ids::InstanceId,
-        mesh::{Heartbeat, MemberState, Message, Update, MAX_DATAGRAM_BYTES},
+        mesh::{Heartbeat, MemberState, Message, Update},
     },
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
-    tokio::{net::UdpSocket, time::sleep},
+    tokio::time::sleep,
 };
 
 /// Number of members that get a heartbeat in each period.
@@ -77,30 +77,3 @@
         send_datagram(app, address, to, Message::QuarantineDigest(digest)).await;
     }
 }
-
-/// Sends one datagram. Send errors are ignored: any datagram may be lost.
-pub(crate) async fn send_datagram(
-    app: &App,
-    address: SocketAddr,
-    to: Option<InstanceId>,
-    body: Message,
-) {
-    let Ok(frame) = app.frame_codec.seal(app, to, body, MAX_DATAGRAM_BYTES) else {
-        return log::warn!("mesh: a message for {address} does not fit a datagram");
-    };
-    if let Some(socket) = app.socket.get() {
-        let _ = socket.send_to(&frame, address).await;
-    }
-}
-
-/// Receives and handles datagrams; never returns.
-pub async fn listen_datagrams(app: Arc<App>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
-    loop {
-        let Ok((length, address)) = socket.recv_from(&mut buffer).await else { continue };
-        match app.frame_codec.open(&app, &buffer[..length], MAX_DATAGRAM_BYTES) {
-            Ok(envelope) => handlers::datagram(&app, address, envelope).await,
-            Err(error) => log::debug!("mesh: datagram from {address} refused: {error}"),
-        }
-    }
-}
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -1,17 +1,21 @@
 //! Messages between instances: gossip by datagram, requests by connection.
 
 mod crash_news;
-mod datagram;
 mod frame_codec;
 mod handlers;
+mod heartbeat;
 mod in_flight;
+mod listen;
 mod request;
+mod send;
 
-pub(crate) use datagram::send_datagram;
+use send::broadcast;
+pub(crate) use send::send_datagram;
 pub use {
     crash_news::report_crash,
-    datagram::{announce_leave, contact, listen_datagrams, send_heartbeats},
     frame_codec::FrameCodec,
+    heartbeat::{announce_leave, contact, send_heartbeats},
     in_flight::report_in_flight,
-    request::{listen_requests, request, RequestError},
+    listen::{listen_datagrams, listen_requests},
+    request::{request, RequestError},
 };
--- a/node/src/mesh/request.rs
+++ b/node/src/mesh/request.rs
@@ -1,26 +1,20 @@
 use {
-    super::handlers,
     crate::app::App,
     lentil_core::{
         ids::InstanceId,
         mesh::{Envelope, FrameError, Message, MAX_FRAME_BYTES},
     },
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, time::Duration},
     thiserror::Error,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
-        sync::Semaphore,
-        time::{sleep, timeout},
+        net::TcpStream,
+        time::timeout,
     },
 };
 
 /// Longest time for a request and its answer.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
-/// Number of requests handled concurrently.
-const MAX_CONCURRENT_REQUESTS: usize = 64;
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Why a request to another instance got no answer.
 #[derive(Debug, Error)]
@@ -55,43 +49,13 @@
     timeout(REQUEST_TIMEOUT, exchange).await.unwrap_or(Err(RequestError::Timeout))
 }
 
-/// Accepts connections and answers one request on each; never returns.
-pub async fn listen_requests(app: Arc<App>, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_REQUESTS));
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let app = app.clone();
-        tokio::spawn(async move {
-            let _permit = permit;
-            match timeout(REQUEST_TIMEOUT, answer(&app, stream)).await {
-                Ok(Ok(())) => {}
-                Ok(Err(error)) => log::debug!("mesh: request refused: {error}"),
-                Err(_) => log::debug!("mesh: request timed out"),
-            }
-        });
-    }
-}
-
-async fn answer(app: &Arc<App>, mut stream: TcpStream) -> Result<(), RequestError> {
-    let envelope = read(app, &mut stream).await?;
-    let to = envelope.from.instance.clone();
-    let body = handlers::request(app, envelope).await;
-    let frame = app.frame_codec.seal(app, Some(to), body, MAX_FRAME_BYTES)?;
-    write(&mut stream, &frame).await?;
-    Ok(())
-}
-
-async fn write(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+pub(super) async fn write(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
     stream.write_u32(frame.len() as u32).await?;
     stream.write_all(frame).await?;
     stream.flush().await
 }
 
-async fn read(app: &App, stream: &mut TcpStream) -> Result<Envelope, RequestError> {
+pub(super) async fn read(app: &App, stream: &mut TcpStream) -> Result<Envelope, RequestError> {
     let length = stream.read_u32().await? as usize;
     if length > MAX_FRAME_BYTES {
         app.metrics.refused_frames.with_label_values(&[FrameError::TooLarge(length).label()]).inc();
