Instances together keep the rate limit that a target announces

Callers saw nothing, but a target in need got several times what it asked for: 142 requests in 4 s with a limit of 10.3 a second (67 allowed), in the users' record and in the limit tests alike.

Read by each instance alone it would still be kept only by chance: it is a promise of all instances about a target of which each sees its own sends only.

Change: one instance, by the hash of the target's name, gives permits for a limited target, on a schedule (generic cell rate algorithm). Each send asks right before it goes out: first sends, retries, prefills, decodes. A denial tells when the next permit is due; routing and admission count that as a wait, the role balancer counts the engine as used up. Holders scale the rate by the share of instances that they see; an instance without a holder has a small part at random times. Limits are told to all members as they change.

--- a/core/src/clock/time.rs
+++ b/core/src/clock/time.rs
@@ -44,6 +44,12 @@
         Self((secs * 1e6) as u64)
     }
 
+    /// Returns the time `span` earlier, or the origin if that lies after it.
+    #[must_use]
+    pub fn earlier(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+
     /// Returns the microseconds since the origin.
     pub const fn as_micros(self) -> u64 {
         self.0
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::Time,
         ids::{AdapterId, EngineId, Incarnation, ModelId, Region, TokenRate, Tokens, Zone},
-        limit::{AnnouncedLimit, Breaker},
+        limit::{AnnouncedLimit, Breaker, LocalSchedule, PermitSchedule},
         manifest::{EngineRates, EngineSpec, Role},
     },
     smallvec::SmallVec,
@@ -49,6 +49,10 @@
     pub breaker: Breaker,
     /// Rate limit that it announces in its answers.
     pub limit: AnnouncedLimit,
+    /// Permits for requests to it, if this instance holds its schedule.
+    pub permits: PermitSchedule,
+    /// Requests to it without permits.
+    pub unpermitted: LocalSchedule,
     /// True while it is leaving the fleet; it then gets no new work.
     pub leaving: bool,
     /// True while it is drained before an order; it then gets no new work.
@@ -75,6 +79,8 @@
             load: LoadView::default(),
             breaker: Breaker::default(),
             limit: AnnouncedLimit::default(),
+            permits: PermitSchedule::default(),
+            unpermitted: LocalSchedule::default(),
             last_answer: Time::ZERO,
             leaving: false,
             draining: false,
@@ -104,6 +110,8 @@
             load: LoadView::from_in_flight(),
             breaker: Breaker::default(),
             limit: AnnouncedLimit::default(),
+            permits: PermitSchedule::default(),
+            unpermitted: LocalSchedule::default(),
             last_answer: Time::ZERO,
             leaving: target.leaving,
             draining: false,
--- a/core/src/ids/amount.rs
+++ b/core/src/ids/amount.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Returns the lower of two rates.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self(self.0.min(other.0))
+    }
+
     /// Returns the number of requests per second.
     pub fn per_second(self) -> f64 {
         self.0
--- a/core/src/limit/announced.rs
+++ b/core/src/limit/announced.rs
@@ -13,6 +13,8 @@
     rate: Option<RequestRate>,
     /// When an answer last announced the limit in force.
     announced: Time,
+    /// When the next permit is expected to be available.
+    available: Time,
 }
 
 impl AnnouncedLimit {
@@ -21,6 +23,16 @@
         self.rate
     }
 
+    /// Returns the time until this instance can expect a permit for a request; zero without a limit.
+    pub fn wait(&self, now: Time) -> Duration {
+        self.rate.map_or(Duration::ZERO, |_| self.available - now)
+    }
+
+    /// Records that the next permit is available after `wait`.
+    pub fn record_wait(&mut self, wait: Duration, now: Time) {
+        self.available = now + wait;
+    }
+
     /// Returns the time since an answer last announced the limit in force.
     pub fn age(&self, now: Time) -> Duration {
         now - self.announced
--- a/core/src/limit/breaker.rs
+++ b/core/src/limit/breaker.rs
@@ -39,6 +39,13 @@
         }
     }
 
+    /// Records that the request passed to [`record_send`](Self::record_send) was not sent after all.
+    pub fn cancel_send(&mut self) {
+        if let Some(open) = &mut self.open {
+            open.probing = false;
+        }
+    }
+
     /// Records an answer of the target, which closes the breaker.
     pub fn record_success(&mut self) {
         *self = Self::default();
--- a/core/src/limit/mod.rs
+++ b/core/src/limit/mod.rs
@@ -4,10 +4,11 @@
 mod announced;
 mod backoff;
 mod breaker;
+mod permits;
 mod resend;
 mod retry;
 
-pub use {announced::*, backoff::*, breaker::*, resend::*, retry::*};
+pub use {announced::*, backoff::*, breaker::*, permits::*, resend::*, retry::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -312,6 +312,20 @@
         self.rank_if(duty, region, |_| true)
     }
 
+    /// Returns the instance that has a duty in `region` by this view, the first one by the hash of
+    /// duty and name; it may be this one. `None` if no instance of the region is known.
+    pub fn duty_holder(&self, duty: &str, region: &Region) -> Option<&MemberInfo> {
+        let known = self.live().map(|m| &m.info).chain([&self.me]);
+        known.filter(|m| m.region == *region).min_by_key(|m| hash_with(duty, &m.id))
+    }
+
+    /// Returns the share of all instances that this view contains, this one included; `None` while
+    /// their number is not known.
+    pub fn visible_share(&self, now: Time) -> Option<f64> {
+        let visible = self.live().count() as f64 + 1.0;
+        Some((visible / f64::from(self.fleet_size(now)?)).min(1.0))
+    }
+
     fn rank_if(&self, duty: &str, region: &Region, counts: impl Fn(&Member) -> bool) -> usize {
         let own = hash_with(duty, &self.me.id);
         self.live()
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -4,15 +4,16 @@
         fleet::{InFlight, PrefixNote, TargetBatch},
         ids::{
             CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, Millis, ModelId,
-            Revision,
+            RequestRate, Revision,
         },
+        limit::Permit,
         manifest::{Edit, ManifestRecord, Role},
         order::Holder,
         plan::Demand,
         poison::{Crash, QuarantineDigest},
     },
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// A message with its sender and receiver.
@@ -68,6 +69,66 @@
     QuarantineDigest(QuarantineDigest),
     /// Requests the crashes by which requests are in the receiver's quarantine.
     PullQuarantine,
+    /// Changes of the rate limits that targets announce, by datagram to all members.
+    Limits(Vec<LimitNote>),
+    /// A question that the receiver answers with [`Message::Reply`], both by datagram.
+    Question {
+        /// Number of the question in the sender's incarnation.
+        number: u64,
+        /// The question.
+        question: Question,
+    },
+    /// Answer to a [`Message::Question`].
+    Reply {
+        /// Number of the question.
+        number: u64,
+        /// The answer.
+        reply: Reply,
+    },
+}
+
+/// Rate limit that a target has begun to announce, has changed or has ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNote {
+    /// The target.
+    pub engine: EngineId,
+    /// Its incarnation.
+    pub boot: Incarnation,
+    /// The limit; `None` if the target has ended it.
+    pub rate: Option<RequestRate>,
+    /// Time since the request was sent whose answer showed this.
+    pub age: Millis,
+}
+
+/// Question to one other instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Question {
+    /// Requests a permit.
+    Permit(PermitRequest),
+}
+
+/// Request for a permit for one request to a target that announces a rate limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// The target.
+    pub engine: EngineId,
+    /// Its incarnation.
+    pub boot: Incarnation,
+    /// The limit that the sender knows.
+    pub rate: RequestRate,
+    /// Longest time that the sender waits before it sends the request.
+    pub wait: Duration,
+}
+
+/// Answer to a [`Question`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The permit, or the time until there is one.
+    Permit(Permit),
+    /// By the receiver's view this instance holds the target's schedule.
+    AskInstead(InstanceId, SocketAddr),
+    /// The receiver cannot answer the question.
+    Unknown,
 }
 
 /// A crash of a target while it ran a request.
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -86,7 +86,8 @@
         }
     };
     let pending = (load.queued + request.prompt - hit).0 as f64;
-    let queue_wait = known.queued.0 as f64 / rate;
+    let permit_wait = engine.limit.wait(now).as_secs_f64();
+    let queue_wait = known.queued.0 as f64 / rate + permit_wait;
     let known_prefill = queue_wait + (request.prompt - hit).0 as f64 / rate;
     let network = match () {
         () if engine.region != origin.region => OTHER_REGION_S,
@@ -97,10 +98,10 @@
         () => 0.0,
     };
     Cost {
-        prefill: pending / rate + if fetch.is_some() { PREFIX_FETCH_S } else { 0.0 },
+        prefill: pending / rate + permit_wait + if fetch.is_some() { PREFIX_FETCH_S } else { 0.0 },
         known_prefill,
         queue_wait,
-        slot_wait: slot_wait(engine, &load, request),
+        slot_wait: slot_wait(engine, &load, request) + permit_wait,
         per_token: token_interval(engine, &load),
         network,
         utilization: f64::from(load.running + load.waiting) / f64::from(engine.rates.slots),
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -13,7 +13,7 @@
     crate::{
         claims::ClaimStore,
         control::CellLeases,
-        mesh::FrameCodec,
+        mesh::{FrameCodec, Questions},
         metrics::Metrics,
         ports::{ConfigStore, Engine, InstanceList, PlainService, WeightStore},
         run::Investigations,
@@ -25,7 +25,7 @@
         ids::Revision,
         limit::ResendLimit,
         manifest::{ManifestIndex, ManifestRecord},
-        mesh::{DetectorTiming, MemberInfo, MemberView},
+        mesh::{DetectorTiming, LimitNote, MemberInfo, MemberView},
         order::Holder,
         poison::Quarantine,
         routes::RouteTable,
@@ -85,6 +85,8 @@
     pub claims: ClaimStore,
     /// Authenticates frames sent to and received from other instances.
     pub frame_codec: FrameCodec,
+    /// Questions to other instances that wait for an answer.
+    pub questions: Questions,
     /// Socket for datagrams to other instances, once it is bound.
     pub socket: OnceLock<Arc<UdpSocket>>,
     /// Leases of the cells that this instance holds.
@@ -106,6 +108,9 @@
     quarantine: Mutex<Quarantine>,
     /// When another instance's quarantine was last requested.
     quarantine_pull: Mutex<Option<Time>>,
+    limits_changed: Notify,
+    /// Changes of targets' limits that the other instances are to learn.
+    limit_notes: Mutex<Vec<LimitNote>>,
     investigations: Mutex<Investigations>,
     holders: Mutex<Holders>,
     /// Greatest manifest revision reported by any instance.
@@ -157,6 +162,9 @@
             quarantine_found: Notify::new(),
             quarantine: Mutex::default(),
             quarantine_pull: Mutex::default(),
+            limits_changed: Notify::new(),
+            limit_notes: Mutex::default(),
+            questions: Questions::default(),
             investigations: Mutex::default(),
             holders: Mutex::default(),
             latest_revision: Mutex::default(),
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -84,14 +84,16 @@
     let (mut running, mut slots) = (0, 0);
     for engine in engines {
         let load = engine.load.expected(engine.prefill_rate(), 1, now);
+        // An engine whose rate limit is used up can take no more work, however idle it is.
+        let permit_wait = engine.limit.wait(now).as_secs_f64();
         match engine.role {
             Role::Prefill => {
-                let seconds = load.queued.0 as f64 / engine.prefill_rate();
+                let seconds = load.queued.0 as f64 / engine.prefill_rate() + permit_wait;
                 prefill += (seconds / FULL_QUEUE_S).min(1.0);
                 prefilling += 1;
             }
             Role::Decode => {
-                running += load.running;
+                running += if permit_wait > 0.0 { engine.rates.slots } else { load.running };
                 slots += engine.rates.slots;
             }
         }
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -76,6 +76,7 @@
         tokio::spawn(mesh::listen_requests(app.clone(), sockets.base.requests)),
         tokio::spawn(mesh::send_heartbeats(app.clone())),
         tokio::spawn(mesh::report_in_flight(app.clone())),
+        tokio::spawn(mesh::announce_limits(app.clone())),
         tokio::spawn(follow::follow_list(app.clone())),
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
         tokio::spawn(follow::follow_routes(app.clone(), directory)),
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -2,6 +2,8 @@
     super::{
         crash_news::{pull_quarantine, quarantine_notes, record_reported_crash},
         heartbeat::send_heartbeat,
+        limits::{answer_permit_request, record_limits},
+        send_datagram,
     },
     crate::{
         app::{App, CellHolder},
@@ -9,7 +11,7 @@
     },
     lentil_core::{
         ids::{Millis, Revision},
-        mesh::{CrashNote, Envelope, Heartbeat, Message, PullReply, Update},
+        mesh::{CrashNote, Envelope, Heartbeat, Message, PullReply, Question, Reply, Update},
     },
     std::{net::SocketAddr, sync::Arc},
 };
@@ -56,11 +58,24 @@
             notes.iter().for_each(|note| record_reported_crash(app, note, now));
         }
         Message::QuarantineDigest(digest) => pull_quarantine(app, address, digest),
+        Message::Limits(notes) => record_limits(app, &envelope.from.instance, &notes),
+        Message::Question { number, question } => {
+            let reply = answer(app, &question);
+            let message = Message::Reply { number, reply };
+            send_datagram(app, address, Some(envelope.from.instance), message).await;
+        }
+        Message::Reply { number, reply } => app.questions.record_reply(number, reply),
         // All other messages are sent by connection.
         _ => {}
     }
 }
 
+fn answer(app: &App, question: &Question) -> Reply {
+    match question {
+        Question::Permit(request) => answer_permit_request(app, request),
+    }
+}
+
 fn apply_heartbeat(app: &Arc<App>, heartbeat: Heartbeat) {
     let now = app.now();
     app.member_view().record_heartbeat(&heartbeat.me, now);
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -63,6 +63,8 @@
     pub ejected_targets: IntGauge,
     /// Targets that announce a rate limit.
     pub limited_targets: IntGauge,
+    /// Requests for permits to send to limited targets, by result.
+    pub permits: IntCounterVec,
     /// Milliseconds since this instance last read the directory or got its changes relayed.
     pub directory_age: IntGauge,
     /// Other instances that the failure detector considers alive.
@@ -168,6 +170,11 @@
                 "Targets without requests since they failed",
             ),
             limited_targets: gauge("lentil_targets_limited", "Targets that announce a rate limit"),
+            permits: counters(
+                "lentil_permits_total",
+                "Permits requested for targets with a rate limit",
+                &["end"],
+            ),
             directory_age: gauge(
                 "lentil_directory_age_ms",
                 "Milliseconds since the directory told of targets",
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -2,6 +2,7 @@
     super::{
         export::Export,
         in_flight::InFlightGuard,
+        permit::{PermitDenied, MAX_DENIALS},
         task::{EngineChoice, Target, Task},
         Piece,
     },
@@ -26,6 +27,8 @@
     CallerGone,
     /// The engine is draining: the run continues on another engine, which fetches the KV cache.
     Migrated(EngineChoice, CacheSource),
+    /// Nothing was sent: a chosen target has no permit for the request.
+    Denied(PermitDenied),
     /// The attempt failed.
     Failed(Fault),
 }
@@ -59,14 +62,10 @@
     pub(super) async fn run(mut self) -> AttemptEnd {
         let mut export = match self.prefill().await {
             Ok(export) => export,
-            Err(fault) => return AttemptEnd::Failed(fault),
+            Err(end) => return end,
         };
-        if export.is_some() {
-            // Other runs of the request may have crashed targets during the prefill.
-            if let Err(fault) = self.task.run_permission(self.task.app.now()) {
-                return AttemptEnd::Failed(fault);
-            }
-            self.choice.decode = self.task.choose_decode(&self.choice.decode);
+        if let Err(end) = self.permit_decode(export.is_some()).await {
+            return end;
         }
         let cache = export.as_ref().and_then(Export::source).or_else(|| self.kv_source.clone());
         let target = self.choice.decode.clone();
@@ -105,6 +104,29 @@
         }
     }
 
+    /// Waits until the request may be sent to the decode engine. Once the prompt was prefilled
+    /// elsewhere, the engine is chosen again, by current loads and permits.
+    async fn permit_decode(&mut self, prefilled: bool) -> Result<(), AttemptEnd> {
+        for denials in 1.. {
+            if prefilled {
+                // Other runs of the request may have crashed targets during the prefill.
+                let allowed = self.task.run_permission(self.task.app.now());
+                allowed.map_err(AttemptEnd::Failed)?;
+                self.choice.decode = self.task.choose_decode(&self.choice.decode);
+            }
+            let target = self.choice.decode.clone();
+            match self.task.acquire_permit(&target).await {
+                Ok(()) => return Ok(()),
+                Err(denied) if !prefilled => return Err(AttemptEnd::Denied(denied)),
+                Err(denied) if denials >= MAX_DENIALS => {
+                    return Err(AttemptEnd::Failed(denied.into_fault()));
+                }
+                Err(_) => {}
+            }
+        }
+        Ok(())
+    }
+
     fn job(&self, target: &Target, cache: Option<CacheSource>) -> Job {
         let request = &self.task.request;
         Job {
@@ -135,11 +157,12 @@
 
     /// Prefills the prompt if a separate engine was chosen for that; returns its KV cache, kept for
     /// export.
-    async fn prefill(&mut self) -> Result<Option<Export>, Fault> {
+    async fn prefill(&mut self) -> Result<Option<Export>, AttemptEnd> {
         if self.kv_source.is_some() {
             return Ok(None);
         }
         let Some(target) = self.choice.prefill.clone() else { return Ok(None) };
+        self.task.acquire_permit(&target).await.map_err(AttemptEnd::Denied)?;
         let app = self.task.app.clone();
         self.task.prefills_sent += 1;
         let idle = app.fleet().engine(&target.id).is_none_or(|e| e.load.idle(app.now()));
@@ -172,7 +195,7 @@
             }
             Err(error) => {
                 self.task.maybe_ran |= !error.not_run() && self.task.request.proxied.is_none();
-                Err(self.record_error(&target, &error).await)
+                Err(AttemptEnd::Failed(self.record_error(&target, &error).await))
             }
         }
     }
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -50,7 +50,7 @@
         let found = serving
             .iter()
             .filter(|e| e.accepts_work(now) && (any_part || part.contains(&e.id)))
-            .find(|e| !fleet.suspects.contains(&e.id))
+            .find(|e| !fleet.suspects.contains(&e.id) && e.limit.wait(now).is_zero())
             .map(|e| e.id.clone());
         let no_engine =
             || Fault::new(ErrorKind::NoTarget, "no available engine is free of other suspects");
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -7,6 +7,7 @@
 mod failure;
 mod in_flight;
 mod isolation;
+mod permit;
 mod piece;
 mod proxied;
 mod request;
--- /dev/null
+++ b/node/src/run/permit.rs
@@ -0,0 +1,102 @@
+use {
+    super::task::{Target, Task},
+    crate::mesh::request_permit,
+    lentil_core::{
+        clock::Time,
+        error::{ErrorKind, Fault},
+        ids::RequestRate,
+        limit::Permit,
+        mesh::PermitRequest,
+    },
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// Time by which the wait for a permit may be longer than was expected as the target was chosen.
+const WAIT_MARGIN: Duration = Duration::from_millis(20);
+/// Times that a request may be denied a permit before it is refused. Each denial tells this instance
+/// how long the target has none, so the next choice is another one.
+pub(super) const MAX_DENIALS: u32 = 12;
+
+/// A target has no permit for a request in time; nothing was sent.
+pub(super) struct PermitDenied {
+    /// Time until the target may have one.
+    pub(super) next: Duration,
+}
+
+impl PermitDenied {
+    /// Returns the fault for a request that is refused for lack of permits.
+    pub(super) fn into_fault(self) -> Fault {
+        let text = "the targets' rate limits are used up";
+        Fault::new(ErrorKind::NoCapacity, text).with_retry(self.next)
+    }
+}
+
+impl Task {
+    /// Waits until one request may be sent to the target. Called right before each send, since a
+    /// limit may have been announced after the target was chosen.
+    ///
+    /// # Errors
+    /// [`PermitDenied`] if that takes longer than was expected as the target was chosen.
+    pub(super) async fn acquire_permit(&mut self, target: &Target) -> Result<(), PermitDenied> {
+        let now = self.app.now();
+        let limited = self.app.fleet().engine(&target.id).and_then(|engine| {
+            let wait = engine.limit.wait(now);
+            Some((engine.limit.rate()?, wait, engine.region.clone()))
+        });
+        let Some((rate, expected, region)) = limited else { return Ok(()) };
+        let longest = self.request.routing.class.first.duration();
+        let wait = longest.min(expected + WAIT_MARGIN);
+        let request = PermitRequest { engine: target.id.clone(), boot: target.boot, rate, wait };
+        let permit = request_permit(&self.app, &region, &request).await;
+        let now = self.app.now();
+        let (end, result, next) = match permit {
+            Some(Permit::Granted { wait, next }) => ("granted", Ok(wait), next),
+            Some(Permit::Denied { next }) => ("denied", Err(next), next),
+            None => match self.take_unpermitted(target, rate, now) {
+                Ok(()) => ("unpermitted", Ok(Duration::ZERO), Duration::ZERO),
+                Err(next) => ("unreachable", Err(next), next),
+            },
+        };
+        self.app.metrics.permits.with_label_values(&[end]).inc();
+        if let Some(engine) = self.app.fleet().engine(&target.id) {
+            engine.limit.record_wait(next, now);
+        }
+        match result {
+            Ok(wait) => {
+                sleep(wait).await;
+                Ok(())
+            }
+            Err(next) => {
+                self.record_denial(target, rate, end, next);
+                Err(PermitDenied { next })
+            }
+        }
+    }
+
+    /// Takes a request from this instance's own part of the target's rate.
+    fn take_unpermitted(
+        &self,
+        target: &Target,
+        rate: RequestRate,
+        now: Time,
+    ) -> Result<(), Duration> {
+        let instances = self.app.member_view().fleet_size(now);
+        match self.app.fleet().engine(&target.id) {
+            Some(engine) => engine.unpermitted.take(rate, instances, rand::random(), now),
+            None => Ok(()),
+        }
+    }
+
+    fn record_denial(&self, target: &Target, rate: RequestRate, end: &str, next: Duration) {
+        if let Some(engine) = self.app.fleet().engine(&target.id) {
+            engine.breaker.cancel_send();
+        }
+        let id = self.request.proxied.as_ref().map_or("-", |p| p.request.id.as_str());
+        log::info!(
+            "run: id={id} held at={} rate={rate} permit={end} next_ms={}",
+            target.id,
+            next.as_millis()
+        );
+    }
+}
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         attempt::{Attempt, AttemptEnd},
+        permit::MAX_DENIALS,
         piece::MAX_QUEUED_PIECES,
         Piece, Pieces, RunRequest,
     },
@@ -132,7 +133,7 @@
             return self.fail(fault).await;
         };
         self.count_request();
-        let mut attempts = 0;
+        let (mut attempts, mut denials) = (0, 0);
         let mut migration = None;
         loop {
             let (choice, kv_source) = match migration.take() {
@@ -146,13 +147,21 @@
                     Err(fault) => return self.fail(fault).await,
                 },
             };
-            attempts += u32::from(kv_source.is_none());
+            let migrates = kv_source.is_some();
+            attempts += u32::from(!migrates);
             let ended = self.attempt(choice, kv_source).await;
             self.release_isolated();
             match ended {
                 AttemptEnd::Completed => return self.finish(),
                 AttemptEnd::CallerGone => return self.caller_left(),
                 AttemptEnd::Migrated(choice, kv_source) => migration = Some((choice, kv_source)),
+                AttemptEnd::Denied(denied) => {
+                    attempts -= u32::from(!migrates);
+                    denials += 1;
+                    if denials >= MAX_DENIALS {
+                        return self.fail(denied.into_fault()).await;
+                    }
+                }
                 AttemptEnd::Failed(fault) => {
                     let quarantined = fault.kind == ErrorKind::Quarantined;
                     if quarantined || attempts >= MAX_ATTEMPTS || !self.may_retry(&fault) {
