Fault soak: a target with a rate limit

One target announces 2.5, 8 or 20 requests per second, by seed; the run checks each span of 4 s from 3 s on, restarts and pauses not excused.

--- a/daemon/tests/fault_injection/check.rs
+++ b/daemon/tests/fault_injection/check.rs
@@ -14,6 +14,14 @@
 /// Most such resends that may reach targets.
 const MAX_LATE_RESENDS: usize = 3;
 
+/// Time after a limit was announced from which it is checked.
+const LIMIT_WINDOW: Duration = Duration::from_secs(3);
+/// Span in which requests to a limited target are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Requests allowed in a span: this multiple of what the limit allows, and a number besides.
+const LIMIT_RATIO: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
 /// Returns a violation if a request that crashes targets was sent to them for too long;
 /// `poisonings` says when it reached targets, in order.
 pub fn check_poison(poisonings: &[Instant]) -> Option<String> {
@@ -24,6 +32,17 @@
     })
 }
 
+/// Returns a violation if a target that announces `limit` since `announced` got far more requests.
+pub fn check_limit(arrivals: &[Instant], limit: f64, announced: Instant) -> Option<String> {
+    let due: Vec<Instant> =
+        arrivals.iter().copied().filter(|a| *a >= announced + LIMIT_WINDOW).collect();
+    let within = |i: usize| due[i..].iter().take_while(|a| **a < due[i] + LIMIT_SPAN).count();
+    let most = (0..due.len()).map(within).max().unwrap_or(0);
+    let allowed = LIMIT_RATIO * limit * LIMIT_SPAN.as_secs_f64() + LIMIT_SLACK;
+    (most as f64 > allowed)
+        .then(|| format!("{most} requests in 4 s at a target with a limit of {limit}/s"))
+}
+
 /// Compares what callers received with what targets ran; returns a line for each violation.
 ///
 /// Requests from index `recovered` on ended after the last fault.
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -10,7 +10,7 @@
 
 use {
     fault_injection::{callers::Callers, check, fault_plan::FaultPlan, fleet::Fleet},
-    std::time::Duration,
+    std::time::{Duration, Instant},
     tokio::time::sleep,
 };
 
@@ -22,6 +22,8 @@
 const INSTANCES: usize = 3;
 /// Number of targets at the start of a run.
 const TARGETS: usize = 4;
+/// Requests per second that one of the targets accepts, by seed.
+const LIMITS: [f64; 3] = [2.5, 8.0, 20.0];
 /// Time during which faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 /// Time after the last fault until requests must be served again.
@@ -50,6 +52,9 @@
 async fn run(seed: u64) -> Vec<String> {
     let mut fleet = Fleet::start(seed, INSTANCES, TARGETS).await;
     let callers = Callers::start(seed, fleet.addresses());
+    let limit = LIMITS[seed as usize % LIMITS.len()];
+    fleet.targets[1].announce_limit(Some(&limit.to_string()));
+    let announced = Instant::now();
     sleep(Duration::from_millis(500)).await;
     let faults = FaultPlan::new(seed, FAULT_PERIOD).run(&mut fleet).await;
     fleet.end_faults().await;
@@ -61,13 +66,16 @@
     let poisonings = fleet.poisonings();
     let mut found = check::check(&history, &runs, recovered);
     found.extend(check::check_poison(&poisonings));
+    let limited = fleet.targets[1].arrivals();
+    found.extend(check::check_limit(&limited, limit, announced));
     let served = history.iter().filter(|e| check::is_served(e)).count();
     println!(
-        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={}",
+        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} limited={} limit={limit}",
         history.len(),
         runs.len(),
         faults.len(),
-        poisonings.len()
+        poisonings.len(),
+        limited.len()
     );
     if !found.is_empty() {
         faults.iter().for_each(|line| println!("soak: seed={seed} {line}"));
