Targets' software versions and resumed streams are logged

No line named a target's software version or the stream that a request takes up, so that a retry within an answer could not be told from a resumption at another instance, nor from a target that changed. The version was decoded and dropped; the header that names the stream was not read.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -2,7 +2,10 @@
     super::{LoadView, Registration},
     crate::{
         clock::Time,
-        ids::{AdapterId, EngineId, Incarnation, ModelId, Region, TokenRate, Tokens, Zone},
+        ids::{
+            AdapterId, EngineId, Incarnation, ModelId, Region, SoftwareVersion, TokenRate, Tokens,
+            Zone,
+        },
         limit::{AnnouncedLimit, Breaker, LocalSchedule, PermitSchedule},
         manifest::{EngineRates, EngineSpec, Role},
     },
@@ -39,6 +42,8 @@
     pub rates: EngineRates,
     /// Role in its latest report.
     pub role: Role,
+    /// Version of its software, if it registered itself.
+    pub software: Option<SoftwareVersion>,
     /// Incarnation in its latest report.
     pub boot: Incarnation,
     /// Adapters that it has loaded.
@@ -74,6 +79,7 @@
             model: spec.model.clone(),
             rates: spec.rates,
             role: Role::default(),
+            software: None,
             boot: Incarnation(0),
             adapters: SmallVec::new(),
             load: LoadView::default(),
@@ -105,6 +111,7 @@
                 cache: Tokens(0),
             },
             role: target.role,
+            software: Some(target.software.clone()),
             boot: target.boot,
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
--- a/core/src/fleet/registration.rs
+++ b/core/src/fleet/registration.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        ids::{EngineId, Incarnation, ModelId, Region, Revision, Zone},
+        ids::{EngineId, Incarnation, ModelId, Region, Revision, SoftwareVersion, Zone},
         manifest::Role,
     },
     serde::{Deserialize, Serialize},
@@ -26,6 +26,8 @@
     pub role: Role,
     /// Number of requests that it can run at the same time.
     pub slots: u32,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// True if it is about to leave the fleet.
     pub leaving: bool,
     /// Version of its model weights; `None` if it has none.
--- a/core/src/ids/mod.rs
+++ b/core/src/ids/mod.rs
@@ -3,8 +3,9 @@
 mod amount;
 mod name;
 mod rank;
+mod software;
 
-pub use {amount::*, name::*, rank::*};
+pub use {amount::*, name::*, rank::*, software::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -125,6 +125,7 @@
         zone: "a".parse().unwrap(),
         role,
         slots: 32,
+        software: "v1".parse().unwrap(),
         leaving: false,
         weights: None,
     };
--- a/core/tests/load/mod.rs
+++ b/core/tests/load/mod.rs
@@ -38,6 +38,7 @@
         zone: "z".parse().unwrap(),
         role,
         slots: 64,
+        software: "v1".parse().unwrap(),
         leaving: false,
         weights: None,
     })
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -102,7 +102,7 @@
     }
 
     /// Adds or updates a target from its registration; returns `true` if its incarnation,
-    /// address, role or leaving state is new.
+    /// software, address, role or leaving state is new.
     pub fn register(&mut self, target: &Registration) -> bool {
         let learned = self.learned.get(&target.service).copied().unwrap_or_default();
         let Some(engine) = self.engines.iter_mut().find(|e| e.id == target.id) else {
@@ -111,7 +111,9 @@
             self.engines.push(engine);
             return true;
         };
-        if engine.boot != target.boot || engine.address != target.address {
+        let software = engine.software.as_ref();
+        let restarted = engine.boot != target.boot || software != Some(&target.software);
+        if restarted || engine.address != target.address {
             *engine = EngineView::from_registration(target);
             learned.apply(engine);
             return true;
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -35,6 +35,8 @@
     pub lengths: BlockLengths,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the caller the stream's first event, if it resumes one.
+    pub resumes: Option<String>,
 }
 
 /// Returns the route for a request, with the active table that contains it.
@@ -107,6 +109,7 @@
             route,
             deadline: arrived + timeout,
             last_event: metadata.last_event,
+            resumes: metadata.resumes,
         }),
     };
     Ok(run::start(app, run_request))
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -223,10 +223,11 @@
                 }
                 if changed {
                     log::info!(
-                        "directory: target={} boot={} service={} address={} role={} leaving={}",
+                        "directory: target={} boot={} service={} software={:?} address={} role={} leaving={}",
                         target.id,
                         target.boot,
                         target.service,
+                        target.software.as_str(),
                         target.address,
                         target.role,
                         target.leaving
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -78,6 +78,7 @@
         );
         let job = self.job(&target, cache);
         let engines = self.task.app.ports.engines.clone();
+        self.task.log_send(&target);
         // From here on a cancelled attempt may have run.
         let ran_before = std::mem::replace(&mut self.task.maybe_ran, true);
         self.task.runs_sent += 1;
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -123,12 +123,13 @@
         if let Some(proxied) = &self.request.proxied {
             let prefill_id = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} prefill={prefill_id} todo={prefill_tokens} hit={} fetch={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} fetch={} first_ms={} wait_ms={}",
                 proxied.request.id,
                 routing.rank,
                 proxied.version,
                 (now - fleet.last_read).as_millis(),
                 decode.id,
+                decode.software_text(),
                 pick.hit,
                 fetch_from.is_some(),
                 pick.first_token.as_millis(),
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -47,6 +47,23 @@
         );
     }
 
+    /// Logs that a stream which has begun, here or through another instance, is continued.
+    pub(super) fn log_send(&self, target: &Target) {
+        let Some(proxied) = &self.request.proxied else { return };
+        let after = self.last_event.or(proxied.last_event);
+        if after.is_none() && proxied.resumes.is_none() {
+            return;
+        }
+        log::info!(
+            "run: id={} continues stream={:.64} after={} at={} software={:?}",
+            proxied.request.id,
+            proxied.resumes.as_deref().unwrap_or("-"),
+            after.unwrap_or(0),
+            target.id,
+            target.software_text(),
+        );
+    }
+
     /// Records that an engine holds the KV cache of the request's shared prefix.
     pub(super) fn record_prefix_ready(&self, target: &Target) {
         let routing = &self.request.routing;
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -48,4 +48,6 @@
     pub deadline: Time,
     /// Last event that the caller received, if it resumes a stream after that one.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the caller the stream's first event, if it resumes one.
+    pub resumes: Option<String>,
 }
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -10,7 +10,7 @@
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
         fleet::EngineView,
-        ids::{EngineId, Incarnation, Tokens},
+        ids::{EngineId, Incarnation, SoftwareVersion, Tokens},
         poison::RunPermission,
     },
     std::{sync::Arc, time::Duration},
@@ -91,11 +91,18 @@
     pub(super) id: EngineId,
     pub(super) address: std::net::SocketAddr,
     pub(super) boot: Incarnation,
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 impl Target {
     pub(super) fn from_view(engine: &EngineView) -> Self {
-        Self { id: engine.id.clone(), address: engine.address, boot: engine.boot }
+        let (id, software) = (engine.id.clone(), engine.software.clone());
+        Self { id, address: engine.address, boot: engine.boot, software }
+    }
+
+    /// Returns the version of the target's software for logs; empty if it is not known.
+    pub(super) fn software_text(&self) -> &str {
+        self.software.as_ref().map_or("", SoftwareVersion::as_str)
     }
 
     /// Returns whether a report with this incarnation may come from the target's process; zero
