Permits: holders of a partition begin at random times also if they are new

The property test failed once in a whole run of the tests: 8 requests in 4 s of 5 allowed, in eight partitions of 400 instances at a target with a limit of zero. A schedule that had never given a permit counted as used just now while the clock was below its interval, so that all eight holders began at once.

--- a/core/src/limit/permits.rs
+++ b/core/src/limit/permits.rs
@@ -4,19 +4,21 @@
     std::time::Duration,
 };
 
-/// Lowest rate at which permits are given. Only an answer shows that a limit has ended, so a target
-/// that announces a limit of zero gets a request now and then.
+/// Lowest rate at which the only holder of a schedule gives permits. Only an answer shows that a limit
+/// has ended, so a target that announces a limit of zero gets a request now and then.
 const MIN_PERMIT_RATE: f64 = 0.5;
+/// Share of the instances from which a holder is the only one that gives permits.
+const SOLE_HOLDER_SHARE: f64 = 0.5;
+/// Longest time between two requests of one schedule.
+const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
 /// Time for which unused permits accumulate.
 const PERMIT_BURST: Duration = Duration::from_millis(200);
 /// Part of a target's rate that all instances share while they get no permits from its holder. The
 /// holder may still give others the full rate, and targets tolerate 1.5 times their limit.
 const LOCAL_RATE_SHARE: f64 = 0.25;
 
-fn interval(rate: RequestRate, share: f64) -> Duration {
-    let per_second = rate.per_second().max(MIN_PERMIT_RATE) * share;
-    // A share of zero gives no permit within any useful time.
-    Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(Duration::MAX)
+fn interval(per_second: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / per_second).map_or(MAX_INTERVAL, |i| i.min(MAX_INTERVAL))
 }
 
 /// Reply to a request for a permit.
@@ -40,8 +42,8 @@
 /// together stay within the rate that the target announces.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PermitSchedule {
-    /// When all permits given so far are used up at the target's rate.
-    used_until: Time,
+    /// When all permits given so far are used up at the target's rate; `None` before the first one.
+    used_until: Option<Time>,
 }
 
 impl PermitSchedule {
@@ -68,17 +70,25 @@
         jitter: f64,
         now: Time,
     ) -> Permit {
-        let interval = interval(rate, share);
-        if share < 1.0 && now - self.used_until > interval {
-            self.used_until = now + PERMIT_BURST + interval.mul_f64(jitter * (1.0 - share));
-        }
+        let min_rate = if share > SOLE_HOLDER_SHARE { MIN_PERMIT_RATE } else { 0.0 };
+        let interval = interval(rate.per_second().max(min_rate) * share);
+        let unused = self.used_until.is_none_or(|used| now - used > interval);
+        let used_until = match self.used_until {
+            _ if unused && share < 1.0 => {
+                now + PERMIT_BURST + interval.mul_f64(jitter * (1.0 - share))
+            }
+            Some(used) => used,
+            None => now,
+        };
         let available = |used_until: Time| (used_until - now).saturating_sub(PERMIT_BURST);
-        let wait = available(self.used_until);
+        let wait = available(used_until);
         if wait > max_wait {
+            self.used_until = Some(used_until);
             return Permit::Denied { next: wait };
         }
-        self.used_until = self.used_until.max(now) + interval;
-        Permit::Granted { wait, next: available(self.used_until) }
+        let used_until = used_until.max(now) + interval;
+        self.used_until = Some(used_until);
+        Permit::Granted { wait, next: available(used_until) }
     }
 }
 
@@ -106,7 +116,7 @@
         now: Time,
     ) -> Result<(), Duration> {
         let share = instances.map_or(0.0, |n| LOCAL_RATE_SHARE / f64::from(n.max(1)));
-        let interval = interval(rate, share);
+        let interval = interval(rate.per_second() * share);
         let next = self.next.filter(|next| now - *next <= interval);
         let next = next.unwrap_or_else(|| now + interval.mul_f64(jitter));
         if now < next {
