A stream goes on only at the software version that began it

Change: a stream is bound to the version of the target that sends its first event. Retries within the answer use that version only, the same target again if there is no other. Each instance keeps the origins of its streams for 30 s; if the service has several versions, three others, by the hash of the request's id, are told before the first event is forwarded. An instance that is asked to resume a stream asks these, then all others. If none knows, it goes on only at a version that all of them call the only one of the last 30 s, and is refused at once otherwise. A new version begins streams 4 s after it came, when all instances know of it; versions are kept in a store key for the loss of all instances; a stopping instance hands its origins over. The last decoding engine of a version does not become a prefilling one.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -44,6 +44,8 @@
     pub role: Role,
     /// Version of its software, if it registered itself.
     pub software: Option<SoftwareVersion>,
+    /// From when on all instances know this version.
+    pub settled: Time,
     /// Incarnation in its latest report.
     pub boot: Incarnation,
     /// Adapters that it has loaded.
@@ -80,6 +82,7 @@
             rates: spec.rates,
             role: Role::default(),
             software: None,
+            settled: Time::ZERO,
             boot: Incarnation(0),
             adapters: SmallVec::new(),
             load: LoadView::default(),
@@ -112,6 +115,7 @@
             },
             role: target.role,
             software: Some(target.software.clone()),
+            settled: Time::ZERO,
             boot: target.boot,
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -9,10 +9,11 @@
 mod queued_tokens;
 mod registration;
 mod running_mean;
+mod software_history;
 
 pub use {
     cache::*, engine::*, in_flight::*, load::*, prefix::*, prefix_locations::*, queued_tokens::*,
-    registration::*, running_mean::*,
+    registration::*, running_mean::*, software_history::*,
 };
 
 #[cfg(test)]
--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -319,6 +319,15 @@
         known.filter(|m| m.region == *region).min_by_key(|m| hash_with(duty, &m.id))
     }
 
+    /// Returns the `count` other live instances of the own region that come first by the hash of
+    /// `key` and name. They change little as instances come and go.
+    pub fn first_by_hash(&self, key: &str, count: usize) -> Vec<MemberInfo> {
+        let members = self.live().map(|m| &m.info).filter(|m| m.region == self.me.region);
+        let mut ranked: Vec<_> = members.map(|m| (hash_with(key, &m.id), m)).collect();
+        ranked.sort_by_key(|(hash, _)| *hash);
+        ranked.into_iter().take(count).map(|(_, m)| m.clone()).collect()
+    }
+
     /// Returns the part that this instance may give out of what all instances share, if it holds
     /// that: the share of them that its view contains, itself included. `None` while it sees less
     /// than half of them, or of a full view: many small partitions would each begin with at least
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -11,6 +11,7 @@
         order::Holder,
         plan::Demand,
         poison::{Crash, QuarantineDigest},
+        stream::{OriginAnswer, StreamKey, StreamOrigin},
     },
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -71,6 +72,8 @@
     PullQuarantine,
     /// Changes of the rate limits that targets announce, by datagram to all members.
     Limits(Vec<LimitNote>),
+    /// Origins of streams that the receiver keeps for others, by datagram.
+    StreamOrigins(Vec<StreamNote>),
     /// A question that the receiver answers with [`Message::Reply`], both by datagram.
     Question {
         /// Number of the question in the sender's incarnation.
@@ -100,11 +103,27 @@
     pub age: Millis,
 }
 
+/// Origin of a stream, to be kept in case its caller resumes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StreamNote {
+    /// The stream.
+    pub stream: StreamKey,
+    /// What began it.
+    pub origin: StreamOrigin,
+}
+
 /// Question to one other instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// Requests a permit.
     Permit(PermitRequest),
+    /// Requests what the receiver knows about the origin of a stream.
+    StreamOrigin {
+        /// The stream.
+        stream: StreamKey,
+        /// Service in which it is to go on.
+        service: ModelId,
+    },
 }
 
 /// Request for a permit for one request to a target that announces a rate limit.
@@ -127,6 +146,8 @@
     Permit(Permit),
     /// By the receiver's view this instance holds the target's schedule.
     AskInstead(InstanceId, SocketAddr),
+    /// What the receiver knows about a stream's origin.
+    StreamOrigin(OriginAnswer),
     /// The receiver cannot answer the question.
     Unknown,
 }
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -36,6 +36,9 @@
 /// and its queue raises it, so a popular prefix is copied to further engines as soon as the one
 /// that has it is busy.
 ///
+/// An engine whose software other instances may not know yet begins a stream only if no other engine
+/// can.
+///
 /// # Errors
 /// [`ErrorKind::NoTarget`] if no engine accepts the request.
 pub fn choose(
@@ -44,13 +47,31 @@
     request: &RoutingRequest,
     origin: &RoutingOrigin,
     now: Time,
+) -> Result<Pick, Fault> {
+    let avoided = |e: &EngineView| request.avoids_software(e, now);
+    let settled = || choose_if(engines, cache, request, origin, |e| !avoided(e), now);
+    let all = || choose_if(engines, cache, request, origin, |_| true, now);
+    match engines.iter().any(avoided) {
+        true => settled().or_else(|_| all()),
+        false => all(),
+    }
+}
+
+/// Like [`choose`], among the engines for which `allows` returns true.
+fn choose_if(
+    engines: &[EngineView],
+    cache: &CacheIndex,
+    request: &RoutingRequest,
+    origin: &RoutingOrigin,
+    allows: impl Fn(&EngineView) -> bool,
+    now: Time,
 ) -> Result<Pick, Fault> {
     let mut prefill: Option<Candidate> = None;
     let mut decode: Option<Candidate> = None;
     let mut both: Option<Candidate> = None;
     let copies = PrefixCopies::find(engines, &cache.locations, request, now);
     for (index, engine) in engines.iter().enumerate() {
-        if !is_eligible(engine, request, now) {
+        if !is_eligible(engine, request, now) || !allows(engine) {
             continue;
         }
         let cost = cost(engine, index, cache, request, origin, &copies, now);
@@ -91,7 +112,8 @@
 fn is_eligible(engine: &EngineView, request: &RoutingRequest, now: Time) -> bool {
     let loaded = request.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
     let excluded = request.excluded.contains(&engine.id);
-    engine.model == request.model && loaded && !excluded && engine.accepts_work(now)
+    let suitable = engine.model == request.model && loaded && request.accepts_software(engine);
+    suitable && !excluded && engine.accepts_work(now)
 }
 
 fn keep_cheapest(best: &mut Option<Candidate>, found: Candidate, score: impl Fn(&Cost) -> f64) {
--- a/core/src/route/request.rs
+++ b/core/src/route/request.rs
@@ -1,8 +1,9 @@
 use {
     crate::{
-        fleet::{BlockHashes, BlockLengths},
-        ids::{AdapterId, EngineId, ModelId, Rank, Tokens},
-        manifest::ClassSpec,
+        clock::Time,
+        fleet::{BlockHashes, BlockLengths, EngineView},
+        ids::{AdapterId, EngineId, ModelId, Rank, SoftwareVersion, Tokens},
+        manifest::{ClassSpec, Role},
     },
     smallvec::SmallVec,
 };
@@ -22,6 +23,10 @@
     pub blocks: BlockHashes,
     /// Tokens of each block; empty if all have [`crate::fleet::BLOCK_TOKENS`].
     pub lengths: BlockLengths,
+    /// Whether the answer is a stream that may be resumed, and then at the version that began it.
+    pub resumable: bool,
+    /// Software version of the decoding engine, if the request continues a stream.
+    pub software: Option<SoftwareVersion>,
     /// Engines that have already failed this request.
     pub excluded: SmallVec<[EngineId; 2]>,
     /// Latency targets of the request's class.
@@ -29,3 +34,19 @@
     /// Position in the engines' queues.
     pub rank: Rank,
 }
+
+impl RoutingRequest {
+    /// Returns whether the engine's software may continue the request's stream. Engines that prefill
+    /// write no part of it.
+    pub fn accepts_software(&self, engine: &EngineView) -> bool {
+        let same = || self.software.is_none() || self.software == engine.software;
+        engine.role == Role::Prefill || same()
+    }
+
+    /// Returns whether the request should not begin a stream at the engine yet, because other
+    /// instances may not know its software.
+    pub fn avoids_software(&self, engine: &EngineView, now: Time) -> bool {
+        let begins = self.resumable && self.software.is_none();
+        begins && engine.role == Role::Decode && now < engine.settled
+    }
+}
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -39,6 +39,8 @@
         output: Tokens(100),
         blocks: prefix_blocks(&text),
         lengths: Default::default(),
+        resumable: false,
+        software: None,
         excluded: Default::default(),
         class: ClassSpec {
             first: Millis(480),
@@ -209,3 +211,29 @@
         RoutingRequest { excluded: ["d0".parse().unwrap()].into_iter().collect(), ..request(1) };
     assert_eq!(choose(&engines, &cache, &failed, &origin(), NOW).unwrap().decode, 1);
 }
+
+#[test]
+fn choose_continues_a_stream_at_its_software_version_only() {
+    let mut engines = [registered("d0", Role::Decode, 0, 1), registered("d1", Role::Decode, 0, 20)];
+    engines[1].software = "v2".parse().ok();
+    let cache = CacheIndex::default();
+    let at = |version: &str| RoutingRequest { software: version.parse().ok(), ..request(1) };
+    let chosen = |request| choose(&engines, &cache, &request, &origin(), NOW).map(|p| p.decode);
+    assert_eq!((chosen(at("v1")), chosen(at("v2"))), (Ok(0), Ok(1)));
+    assert_eq!(chosen(at("v3")).unwrap_err().kind, crate::error::ErrorKind::NoTarget);
+}
+
+#[test]
+fn choose_begins_streams_where_all_instances_know_the_software() {
+    let mut engines = [registered("d0", Role::Decode, 0, 20), registered("d1", Role::Decode, 0, 1)];
+    engines[1].settled = NOW + std::time::Duration::from_secs(1);
+    let cache = CacheIndex::default();
+    let stream = RoutingRequest { resumable: true, ..request(1) };
+    let chosen = |engines: &[EngineView], request: &RoutingRequest| {
+        choose(engines, &cache, request, &origin(), NOW).unwrap().decode
+    };
+    assert_eq!(chosen(&engines, &stream), 0);
+    assert_eq!(chosen(&engines, &request(1)), 1, "no stream");
+    engines[0].leaving = true;
+    assert_eq!(chosen(&engines, &stream), 1, "no other engine");
+}
--- a/core/tests/load/mod.rs
+++ b/core/tests/load/mod.rs
@@ -53,6 +53,8 @@
         output: Tokens(20),
         blocks: [PrefixHash(number)].into_iter().collect(),
         lengths: [prompt as u32].into_iter().collect(),
+        resumable: false,
+        software: None,
         excluded: Default::default(),
         class: ClassSpec {
             first: Millis(TTFT_TARGET_MS),
--- a/fakes/examples/slopes.rs
+++ b/fakes/examples/slopes.rs
@@ -104,6 +104,8 @@
             output: Tokens(200),
             blocks,
             lengths: Default::default(),
+            resumable: false,
+            software: None,
             excluded: Default::default(),
             class: ClassSpec {
                 first: Millis(480),
--- a/fakes/src/simulation/simulator.rs
+++ b/fakes/src/simulation/simulator.rs
@@ -337,6 +337,8 @@
             output: Tokens(class.output as u64),
             blocks: arrival.blocks.clone(),
             lengths: Default::default(),
+            resumable: false,
+            software: None,
             excluded: Default::default(),
             class: ClassSpec {
                 first: millis(FIRST_TOKEN_S),
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -1,11 +1,12 @@
 use {
     lentil_core::{
         clock::Time,
-        fleet::{EngineView, Registration, RunningMean},
-        ids::{EngineId, ModelId, ServiceId, TargetId, TokenRate, Zone},
+        fleet::{EngineView, Registration, RunningMean, SoftwareHistory},
+        ids::{EngineId, ModelId, ServiceId, SoftwareVersion, TargetId, TokenRate, Zone},
         limit::Breaker,
         manifest::{Manifest, Role},
     },
+    smallvec::SmallVec,
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -30,6 +31,8 @@
     pub suspects: HashSet<EngineId>,
     /// When the targets were last read from the directory, here or by the region watcher.
     pub last_read: Time,
+    /// Software versions of targets that are gone.
+    pub software: SoftwareHistory,
     pauses: HashMap<EngineId, Pause>,
     learned: HashMap<ModelId, LearnedRates>,
 }
@@ -103,10 +106,12 @@
 
     /// Adds or updates a target from its registration; returns `true` if its incarnation,
     /// software, address, role or leaving state is new.
-    pub fn register(&mut self, target: &Registration) -> bool {
+    pub fn register(&mut self, target: &Registration, now: Time) -> bool {
         let learned = self.learned.get(&target.service).copied().unwrap_or_default();
+        let settled =
+            self.software.settles_at(&self.engines, &target.service, &target.software, now);
         let Some(engine) = self.engines.iter_mut().find(|e| e.id == target.id) else {
-            let mut engine = EngineView::from_registration(target);
+            let mut engine = EngineView { settled, ..EngineView::from_registration(target) };
             learned.apply(&mut engine);
             self.engines.push(engine);
             return true;
@@ -114,7 +119,8 @@
         let software = engine.software.as_ref();
         let restarted = engine.boot != target.boot || software != Some(&target.software);
         if restarted || engine.address != target.address {
-            *engine = EngineView::from_registration(target);
+            self.software.record_gone(engine, now);
+            *engine = EngineView { settled, ..EngineView::from_registration(target) };
             learned.apply(engine);
             return true;
         }
@@ -128,10 +134,24 @@
     }
 
     /// Removes a target whose entry is gone; returns `true` if it was known.
-    pub fn deregister(&mut self, id: &EngineId) -> bool {
-        let before = self.engines.len();
-        self.engines.retain(|e| e.id != *id);
-        before != self.engines.len()
+    pub fn deregister(&mut self, id: &EngineId, now: Time) -> bool {
+        let Some(index) = self.engines.iter().position(|e| e.id == *id) else { return false };
+        self.software.record_gone(&self.engines.remove(index), now);
+        true
+    }
+
+    /// Returns the software versions that the targets of a service have, or had recently.
+    pub fn software_versions(
+        &self,
+        service: &ModelId,
+        now: Time,
+    ) -> SmallVec<[&SoftwareVersion; 2]> {
+        self.software.versions(&self.engines, service, now)
+    }
+
+    /// Returns the only software version that a service has recently had, if that is certain.
+    pub fn sole_software(&self, service: &ModelId, now: Time) -> Option<&SoftwareVersion> {
+        self.software.sole(&self.engines, service, now)
     }
 
     /// Updates the learned rates of a service, and applies them to all its targets.
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -30,6 +30,7 @@
         poison::Quarantine,
         routes::RouteTable,
         settings::Settings,
+        stream::StreamOrigins,
     },
     std::{
         sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
@@ -108,6 +109,11 @@
     quarantine: Mutex<Quarantine>,
     /// When another instance's quarantine was last requested.
     quarantine_pull: Mutex<Option<Time>>,
+    /// Notified when a target has come, changed or gone.
+    pub targets_changed: Notify,
+    /// Notified when targets of a service run several software versions, and one of them has changed.
+    pub versions_changed: Notify,
+    stream_origins: Mutex<StreamOrigins>,
     limits_changed: Notify,
     /// Changes of targets' limits that the other instances are to learn.
     limit_notes: Mutex<Vec<LimitNote>>,
@@ -162,6 +168,9 @@
             quarantine_found: Notify::new(),
             quarantine: Mutex::default(),
             quarantine_pull: Mutex::default(),
+            targets_changed: Notify::new(),
+            versions_changed: Notify::new(),
+            stream_origins: Mutex::default(),
             limits_changed: Notify::new(),
             limit_notes: Mutex::default(),
             questions: Questions::default(),
@@ -212,6 +221,11 @@
         lock(&self.quarantine)
     }
 
+    /// Locks the origins of recent streams. No other lock is taken meanwhile.
+    pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.stream_origins)
+    }
+
     /// Locks the investigations of targets that are in progress. No other lock is taken meanwhile.
     pub fn investigations(&self) -> MutexGuard<'_, Investigations> {
         lock(&self.investigations)
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -70,6 +70,8 @@
             prompt: count_tokens(&params.prompt),
             blocks: prefix_blocks(&params.prompt),
             lengths: Default::default(),
+            resumable: false,
+            software: None,
             excluded: Default::default(),
             model: resolved.model,
             adapter: resolved.adapter,
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -98,6 +98,8 @@
             output: metadata.output,
             blocks: metadata.blocks,
             lengths: metadata.lengths,
+            resumable: route.resumable,
+            software: None,
             excluded: Default::default(),
             class: route.class.clone(),
             rank: route.class.rank(),
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -41,7 +41,10 @@
         let balancer = self.balancer.get_or_insert_with(|| RoleBalancer::new(now));
         let role = balancer.decide(utilization, split, self.changes.len(), now)?;
         let mean = balancer.mean();
-        let eligible = |e: &&&EngineView| e.role != role && !self.unsettled.contains(&e.id);
+        let eligible = |e: &&&EngineView| {
+            let last = role == Role::Prefill && is_last_decoding(&serving, e);
+            e.role != role && !last && !self.unsettled.contains(&e.id)
+        };
         let engine = serving.iter().filter(eligible).min_by_key(|e| expected_load(e, now))?;
         log::info!(
             "control: cell={} engine={} to={role} prefilling={} decoding={} prefill_use={:.2} decode_use={:.2}",
@@ -73,6 +76,15 @@
     }
 }
 
+/// Returns whether no other engine with the same software decodes: streams that it began could not
+/// go on elsewhere.
+fn is_last_decoding(serving: &[&EngineView], engine: &EngineView) -> bool {
+    let continues = |e: &&&EngineView| {
+        e.role == Role::Decode && e.software == engine.software && e.id != engine.id
+    };
+    !serving.iter().any(|e| continues(&e))
+}
+
 /// Returns the registered engines of a cell.
 fn cell_engines<'a>(fleet: &'a Fleet, cell: &'a CellId) -> impl Iterator<Item = &'a EngineView> {
     fleet.engines.iter().filter(|e| cell_of(e) == *cell)
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -77,11 +77,13 @@
         tokio::spawn(mesh::send_heartbeats(app.clone())),
         tokio::spawn(mesh::report_in_flight(app.clone())),
         tokio::spawn(mesh::announce_limits(app.clone())),
+        tokio::spawn(mesh::share_stream_origins(app.clone())),
         tokio::spawn(follow::follow_list(app.clone())),
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
         tokio::spawn(follow::follow_routes(app.clone(), directory)),
         tokio::spawn(control::run_controllers(app.clone())),
         tokio::spawn(follow::persist_quarantine(app.clone())),
+        tokio::spawn(follow::persist_software(app.clone())),
     ];
     log::info!("daemon: start instance={} listen={}", app.identity, app.settings.listen);
     stop.await;
@@ -92,6 +94,7 @@
     stop_front.send_replace(true);
     let remaining = drain_limit.saturating_sub(app.now() - stop_began);
     let cut = timeout(remaining, served).await.is_err();
+    mesh::hand_over_streams(&app).await;
     mesh::announce_leave(&app).await;
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
     log::info!("daemon: stop ends cut={cut}");
--- a/node/src/follow/mod.rs
+++ b/node/src/follow/mod.rs
@@ -7,6 +7,7 @@
 mod quarantine;
 mod relay;
 mod routes;
+mod software;
 mod targets;
 
 pub use {
@@ -15,5 +16,6 @@
     manifest::{follow_manifest, pull_manifest, read_manifest, MANIFEST_KEY},
     quarantine::persist_quarantine,
     routes::follow_routes,
+    software::persist_software,
     targets::follow_targets,
 };
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -216,7 +216,14 @@
         match change {
             TargetChange::Present(target) => {
                 self.missing.remove(&target.id);
-                let changed = app.fleet().register(&target);
+                let now = app.now();
+                let changed = app.fleet().register(&target, now);
+                if changed && app.fleet().software_versions(&target.service, now).len() > 1 {
+                    app.versions_changed.notify_one();
+                }
+                if changed {
+                    app.targets_changed.notify_one();
+                }
                 if changed && target.leaving {
                     let (engine, boot) = (target.id.clone(), target.boot);
                     app.member_view().queue_update(Update::Leaving { engine, boot });
@@ -244,7 +251,8 @@
         let may_return = self.last_outage.is_some_and(|t| now - t < REREGISTER_TIME);
         if may_return {
             self.missing.entry(id).or_insert(now);
-        } else if app.fleet().deregister(&id) {
+        } else if app.fleet().deregister(&id, now) {
+            app.targets_changed.notify_one();
             log::info!("directory: target={id} gone");
         }
     }
@@ -256,7 +264,8 @@
             return;
         }
         for (id, since) in std::mem::take(&mut self.missing) {
-            if app.fleet().deregister(&id) {
+            if app.fleet().deregister(&id, now) {
+                app.targets_changed.notify_one();
                 log::info!(
                     "directory: target={id} gone, missing for {} ms",
                     (now - since).as_millis()
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -4,6 +4,7 @@
         heartbeat::send_heartbeat,
         limits::{answer_permit_request, record_limits},
         send_datagram,
+        streams::{own_answer, record_stream_origins},
     },
     crate::{
         app::{App, CellHolder},
@@ -59,6 +60,7 @@
         }
         Message::QuarantineDigest(digest) => pull_quarantine(app, address, digest),
         Message::Limits(notes) => record_limits(app, &envelope.from.instance, &notes),
+        Message::StreamOrigins(notes) => record_stream_origins(app, notes),
         Message::Question { number, question } => {
             let reply = answer(app, &question);
             let message = Message::Reply { number, reply };
@@ -73,6 +75,9 @@
 fn answer(app: &App, question: &Question) -> Reply {
     match question {
         Question::Permit(request) => answer_permit_request(app, request),
+        Question::StreamOrigin { stream, service } => {
+            Reply::StreamOrigin(own_answer(app, Some(*stream), service))
+        }
     }
 }
 
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod request;
 mod send;
+mod streams;
 
 pub(crate) use send::send_datagram;
 use {ask::ask, send::broadcast};
@@ -22,4 +23,5 @@
     limits::{announce_limits, request_permit},
     listen::{listen_datagrams, listen_requests},
     request::{request, RequestError},
+    streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
 };
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -75,6 +75,8 @@
     pub queue_wait: HistogramVec,
     /// Streams resumed on another target from the last event sent.
     pub resumes: IntCounter,
+    /// Streams that callers resume, by how the software version that began them was found.
+    pub stream_origins: IntCounterVec,
     /// Requests demoted behind those that can still meet their objective, by class.
     pub late_requests: IntCounterVec,
     /// Calls to the platform's store by kind and result.
@@ -183,6 +185,11 @@
             attempts: counters("lentil_answers_total", "Answers of targets", &["target", "end"]),
             queue_wait: times("lentil_queue_wait_seconds", "Wait expected in queues at admission"),
             resumes: counter("lentil_resumes_total", "Streams that went on elsewhere"),
+            stream_origins: counters(
+                "lentil_stream_origins_total",
+                "Streams taken up again, by how their origin was found",
+                &["end"],
+            ),
             late_requests: counters("lentil_late_total", "Requests that stepped back", &["class"]),
             platform_calls: counters(
                 "lentil_platform_calls_total",
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -240,7 +240,9 @@
                             EngineError::Malformed(format!("event id {id} does not increase"));
                         return AttemptEnd::Failed(self.record_error(&target, &error).await);
                     }
-                    self.task.last_event = Some(id);
+                    if self.task.last_event.replace(id).is_none() {
+                        self.task.bind_stream(&target).await;
+                    }
                     self.forward_bytes(bytes).await
                 }
                 Ok(AnswerPart::Body(bytes)) => self.forward_bytes(bytes).await,
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -89,7 +89,14 @@
                 }
                 pick
             }
-            Some(_) => pick_for(&routing)?,
+            Some(_) => pick_for(&routing).or_else(|fault| {
+                // A target that broke its answer may be the only one that can continue the stream.
+                if routing.software.is_none() || routing.excluded.is_empty() {
+                    return Err(fault);
+                }
+                routing.excluded.clear();
+                pick_for(&routing)
+            })?,
             None => {
                 let picked = pick_for(&routing);
                 if attempts == 0 {
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -37,7 +37,8 @@
         let routing = &self.request.routing;
         let serves = |e: &EngineView| {
             let loaded = routing.adapter.as_ref().is_none_or(|a| e.adapters.contains(a));
-            e.model == routing.model && e.role == Role::Decode && loaded
+            let suitable = e.model == routing.model && routing.accepts_software(e);
+            suitable && e.role == Role::Decode && loaded
         };
         let serving: Vec<&EngineView> = fleet.engines.iter().filter(|e| serves(e)).collect();
         let sound = serving.iter().map(|e| &e.id).filter(|id| !crashed.contains(*id));
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -12,6 +12,7 @@
 mod proxied;
 mod request;
 mod resume;
+mod stream_origin;
 mod task;
 
 pub use {failure::Investigations, piece::*, request::*, resume::resume, task::start};
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -140,12 +140,15 @@
             return self.fail(fault).await;
         };
         self.count_request();
+        if let Err(fault) = self.bind_resumed_stream().await {
+            return self.fail(fault).await;
+        }
         let (mut attempts, mut denials) = (0, 0);
         let mut migration = None;
         loop {
             let (choice, kv_source) = match migration.take() {
                 Some((choice, kv_source)) => (choice, Some(kv_source)),
-                None => match self.choose(attempts) {
+                None => match self.check_version_left().and_then(|()| self.choose(attempts)) {
                     Ok(choice) => (choice, None),
                     Err(fault) if self.may_wait(&fault, attempts) => {
                         sleep(NO_TARGET_RETRY_DELAY).await;
