Fault soak: targets of two software versions, streams that callers resume

Targets have two versions in turn and name them in their events; callers resume streams that were cut, through any instance. Events now come 15 ms apart and 24 callers send, so that streams are in progress as faults begin.

--- a/daemon/tests/fault_injection/callers.rs
+++ b/daemon/tests/fault_injection/callers.rs
@@ -1,5 +1,5 @@
 use {
-    crate::platform::{request, Caller, Message, POISON},
+    crate::platform::{event, request, split_software, Caller, Message, POISON, STREAM_EVENTS},
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::{
         net::SocketAddr,
@@ -18,7 +18,7 @@
 };
 
 /// Number of concurrent callers.
-const CALLERS: u64 = 8;
+const CALLERS: u64 = 24;
 
 /// Type of the route that a request takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +27,8 @@
     NonIdempotent,
     ResumableStream,
     NonResumableStream,
+    /// A resumable stream of which the caller has the events up to this number.
+    ResumedStream(u64),
 }
 
 impl RouteKind {
@@ -34,7 +36,7 @@
         match self {
             Self::Idempotent => "/safe/a",
             Self::NonIdempotent => "/once/a",
-            Self::ResumableStream => "/stream/a",
+            Self::ResumableStream | Self::ResumedStream(_) => "/stream/a",
             Self::NonResumableStream => "/firm/a",
         }
     }
@@ -45,6 +47,8 @@
 pub struct Exchange {
     pub id: String,
     pub kind: RouteKind,
+    /// Id of the request that brought the first event of the stream that this one resumes.
+    pub resumes: Option<String>,
     pub response: Option<Message>,
 }
 
@@ -92,6 +96,7 @@
     stopping: Arc<AtomicBool>,
 ) {
     let mut connection: Option<Caller> = None;
+    let mut cut_stream: Option<(String, u64)> = None;
     let mut count = 0;
     while !stopping.load(Ordering::Relaxed) {
         let mut caller = match connection.take() {
@@ -113,13 +118,24 @@
             RouteKind::ResumableStream,
             RouteKind::NonResumableStream,
         ][rng.gen_range(0..4)];
-        let text = request("POST", kind.path(), &id, "", &id);
+        let (kind, resumes) = match cut_stream.take() {
+            Some((stream, after)) => (RouteKind::ResumedStream(after), Some(stream)),
+            None => (kind, None),
+        };
+        let headers = match (kind, &resumes) {
+            (RouteKind::ResumedStream(after), Some(stream)) => {
+                format!("Resumes: {stream}\r\nLast-Event-Id: {after}\r\n")
+            }
+            _ => String::new(),
+        };
+        let text = request("POST", kind.path(), &id, &headers, &id);
         let sent = caller.stream.write_all(text.as_bytes()).await;
         let response = if sent.is_ok() { caller.read_response().await } else { None };
         let reusable = response
             .as_ref()
             .is_some_and(|r| r.complete && r.header("connection").is_none_or(|c| c != "close"));
-        history.lock().unwrap().push(Exchange { id, kind, response });
+        cut_stream = received_part(&id, kind, resumes.as_deref(), response.as_ref());
+        history.lock().unwrap().push(Exchange { id, kind, resumes, response });
         if reusable {
             connection = Some(caller);
         }
@@ -146,3 +162,21 @@
         sleep(Duration::from_millis(rng.gen_range(50..500))).await;
     }
 }
+
+/// Returns the id with which a caller resumes a stream that was cut, and the last event that it has.
+fn received_part(
+    id: &str,
+    kind: RouteKind,
+    resumes: Option<&str>,
+    response: Option<&Message>,
+) -> Option<(String, u64)> {
+    let had = match kind {
+        RouteKind::ResumableStream => 0,
+        RouteKind::ResumedStream(after) => after,
+        _ => return None,
+    };
+    let cut = response.filter(|r| !r.complete && r.status() == 200)?;
+    let text = split_software(&cut.text()).0;
+    let last = (1..=STREAM_EVENTS).rev().find(|n| text.contains(&event(*n))).unwrap_or(had);
+    (last > 0).then(|| (resumes.unwrap_or(id).to_owned(), last))
+}
--- a/daemon/tests/fault_injection/check.rs
+++ b/daemon/tests/fault_injection/check.rs
@@ -1,8 +1,8 @@
 use {
     super::callers::{Exchange, RouteKind},
-    crate::platform::{all_events, event, Message, POISON, STREAM_EVENTS},
+    crate::platform::{event, split_software, Message, POISON, STREAM_EVENTS},
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         time::{Duration, Instant},
     },
 };
@@ -22,6 +22,23 @@
 const LIMIT_RATIO: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 
+/// Returns a line for each stream with events of several software versions, in one answer or over its
+/// caller's tries.
+fn check_software(history: &[Exchange]) -> Vec<String> {
+    let mut streams: HashMap<&str, BTreeSet<String>> = HashMap::new();
+    for exchange in history {
+        let Some(response) = exchange.response.as_ref().filter(|r| r.status() == 200) else {
+            continue;
+        };
+        let stream = exchange.resumes.as_deref().unwrap_or(&exchange.id);
+        let text = response.text();
+        let software = split_software(&text).1.into_iter().map(str::to_owned);
+        streams.entry(stream).or_default().extend(software);
+    }
+    let mixed = streams.into_iter().filter(|(_, software)| software.len() > 1);
+    mixed.map(|(stream, software)| format!("stream {stream} has events of {software:?}")).collect()
+}
+
 /// Returns a violation if a request that crashes targets was sent to them for too long;
 /// `poisonings` says when it reached targets, in order.
 pub fn check_poison(poisonings: &[Instant]) -> Option<String> {
@@ -66,6 +83,7 @@
             ));
         }
     }
+    violations.extend(check_software(history));
     let last = &history[recovered..];
     let served = last.iter().filter(|e| is_served(e)).count();
     if (served as f64) < last.len() as f64 * MIN_SERVED_SHARE || last.is_empty() {
@@ -108,7 +126,10 @@
             check_body(response, id).map(|e| format!("{kind:?} {id} {e}"))
         }
         RouteKind::ResumableStream | RouteKind::NonResumableStream => {
-            check_stream(response).map(|e| format!("{kind:?} {id} {e}"))
+            check_stream(response, 0).map(|e| format!("{kind:?} {id} {e}"))
+        }
+        RouteKind::ResumedStream(after) => {
+            check_stream(response, after).map(|e| format!("{kind:?} {id} {e}"))
         }
     }
 }
@@ -119,14 +140,19 @@
     (response.complete && !own).then(|| format!("got the body {text:?}"))
 }
 
-fn check_stream(response: &Message) -> Option<String> {
+/// Checks a stream of which the caller has the events up to `after`.
+fn check_stream(response: &Message, after: u64) -> Option<String> {
     let text = response.text();
-    let is_prefix = (0..=STREAM_EVENTS).any(|n| text == (1..=n).map(event).collect::<String>());
+    let text = split_software(&text).0;
+    let events = |last: u64| (after + 1..=last).map(event).collect::<String>();
+    let is_prefix = (after..=STREAM_EVENTS).any(|n| text == events(n));
     // Some behaviors of the fake target send a plain body on streaming routes too.
     let is_plain = !text.starts_with("id:") && !text.is_empty();
     match (response.complete, is_plain) {
         (_, true) => None,
-        (true, _) if text != all_events() => Some(format!("ended as complete with {text:?}")),
+        (true, _) if text != events(STREAM_EVENTS) => {
+            Some(format!("ended as complete with {text:?}"))
+        }
         (false, _) if !is_prefix => Some(format!("was interrupted after {text:?}")),
         _ => None,
     }
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -44,6 +44,10 @@
     restarts: JoinSet<()>,
 }
 
+/// Software versions that the targets have in turn.
+const SOFTWARE: [&str; 2] = ["v1", "v1.1"];
+/// Time between two events of a stream; streams are in progress as faults begin.
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// Time that a crashed target is down.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
@@ -157,6 +161,8 @@
     pub async fn add_target(&mut self) {
         self.last_target += 1;
         let runner = Runner::start(&format!("i-{}", self.last_target)).await;
+        runner.set_software(SOFTWARE[self.last_target as usize % SOFTWARE.len()]);
+        runner.set_event_interval(EVENT_INTERVAL);
         let link = Proxy::start(runner.address).await;
         self.restarts.spawn(restart_crashed(runner.clone(), link.address, self.store.clone()));
         self.targets.push(runner);
@@ -222,7 +228,7 @@
 
 fn register(runner: &Runner, address: SocketAddr, state: &str, store: &Store) {
     let entry = json!({
-        "service": "s", "address": address, "zone": "z", "version": "v1", "slots": 8,
+        "service": "s", "address": address, "zone": "z", "version": runner.software(), "slots": 8,
         "state": state, "cold_remaining_ms": 0, "seq_no": 1, "born": runner.born(),
     });
     store.put(&format!("servers/{}", runner.id), entry.to_string());
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -69,13 +69,16 @@
     let limited = fleet.targets[1].arrivals();
     found.extend(check::check_limit(&limited, limit, announced));
     let served = history.iter().filter(|e| check::is_served(e)).count();
+    let resumed: Vec<_> = history.iter().filter(|e| e.resumes.is_some()).collect();
+    let went_on = resumed.iter().filter(|e| check::is_served(e)).count();
     println!(
-        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} limited={} limit={limit}",
+        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} limited={} limit={limit} resumed={} went_on={went_on}",
         history.len(),
         runs.len(),
         faults.len(),
         poisonings.len(),
-        limited.len()
+        limited.len(),
+        resumed.len()
     );
     if !found.is_empty() {
         faults.iter().for_each(|line| println!("soak: seed={seed} {line}"));
