--- a/node/src/mesh/limits.rs
+++ b/node/src/mesh/limits.rs
@@ -9,8 +9,8 @@
     std::{net::SocketAddr, sync::Arc},
 };
 
-/// Number of notes that fit one datagram.
-const NOTES_PER_DATAGRAM: usize = 16;
+/// Number of notes that fit one datagram, also with the longest names.
+const NOTES_PER_DATAGRAM: usize = 6;
 /// Most instances that are asked for one permit: views differ about which one holds a schedule.
 const MAX_HOPS: u32 = 3;
 
--- a/node/src/run/permit.rs
+++ b/node/src/run/permit.rs
@@ -38,13 +38,14 @@
     ///
     /// # Errors
     /// [`PermitDenied`] if that takes longer than was expected as the target was chosen.
-    pub(super) async fn acquire_permit(&mut self, target: &Target) -> Result<(), PermitDenied> {
+    pub(super) async fn acquire_permit(&self, target: &Target) -> Result<(), PermitDenied> {
         let now = self.app.now();
         let limited = self.app.fleet().engine(&target.id).and_then(|engine| {
             let wait = engine.limit.wait(now);
-            Some((engine.limit.rate()?, wait, engine.region.clone()))
+            let age = engine.limit.age(now);
+            Some((engine.limit.rate()?, age, wait, engine.region.clone()))
         });
-        let Some((rate, expected, region)) = limited else { return Ok(()) };
+        let Some((rate, age, expected, region)) = limited else { return Ok(()) };
         let longest = self.request.routing.class.first.duration();
         let wait = longest.min(expected + WAIT_MARGIN);
         let request = PermitRequest { engine: target.id.clone(), boot: target.boot, rate, wait };
@@ -68,7 +69,7 @@
                 Ok(())
             }
             Err(next) => {
-                self.record_denial(target, rate, end, next);
+                self.record_denial(target, (rate, age), end, next);
                 Err(PermitDenied { next })
             }
         }
@@ -88,14 +89,21 @@
         }
     }
 
-    fn record_denial(&self, target: &Target, rate: RequestRate, end: &str, next: Duration) {
+    fn record_denial(
+        &self,
+        target: &Target,
+        (rate, age): (RequestRate, Duration),
+        end: &str,
+        next: Duration,
+    ) {
         if let Some(engine) = self.app.fleet().engine(&target.id) {
             engine.breaker.cancel_send();
         }
         let id = self.request.proxied.as_ref().map_or("-", |p| p.request.id.as_str());
         log::info!(
-            "run: id={id} held at={} rate={rate} permit={end} next_ms={}",
+            "run: id={id} held at={} rate={rate} rate_age_ms={} permit={end} next_ms={}",
             target.id,
+            age.as_millis(),
             next.as_millis()
         );
     }
