Origins of streams keep their age as they are handed over

Each hand-over made all origins new again, so that changes of the targets in quick succession would have kept them for good; and every change of a target during a release handed all of them over. Notes carry an age now, and only a version that is new to its service starts a hand-over. Eight notes with the longest names did not fit a datagram: four do. An instance that comes to store the versions later stores them also if they have not changed since.

--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -110,6 +110,8 @@
     pub stream: StreamKey,
     /// What began it.
     pub origin: StreamOrigin,
+    /// Time since it began or was last continued.
+    pub age: Millis,
 }
 
 /// Question to one other instance.
--- a/core/src/stream/origin.rs
+++ b/core/src/stream/origin.rs
@@ -52,7 +52,7 @@
 }
 
 impl StreamOrigins {
-    /// Records the origin of a stream, or that it has continued: its first origin stays.
+    /// Records the origin of a stream that began or continued at `seen`; its first origin stays.
     ///
     /// ```
     /// use lentil_core::{clock::Time, stream::{StreamKey, StreamOrigin, StreamOrigins}};
@@ -62,15 +62,17 @@
     ///     software: software.parse().unwrap(),
     /// };
     /// let mut origins = StreamOrigins::default();
-    /// origins.record(StreamKey::of("q1"), origin("v1"), Time::ZERO);
-    /// origins.record(StreamKey::of("q1"), origin("v2"), Time::from_millis(20_000));
-    /// assert_eq!(origins.find(StreamKey::of("q1"), Time::from_millis(45_000)), Some(&origin("v1")));
-    /// assert_eq!(origins.find(StreamKey::of("q1"), Time::from_millis(51_000)), None);
+    /// let (stream, at) = (StreamKey::of("q1"), Time::from_millis);
+    /// origins.record(stream, origin("v1"), at(0), at(0));
+    /// origins.record(stream, origin("v2"), at(20_000), at(20_000));
+    /// assert_eq!(origins.find(stream, at(45_000)), Some(&origin("v1")));
+    /// assert_eq!(origins.find(stream, at(51_000)), None);
     /// ```
-    pub fn record(&mut self, stream: StreamKey, origin: StreamOrigin, now: Time) {
+    pub fn record(&mut self, stream: StreamKey, origin: StreamOrigin, seen: Time, now: Time) {
         self.remove_expired(now);
-        self.origins.entry(stream).and_modify(|(_, at)| *at = now).or_insert((origin, now));
-        self.order.push_back((now, stream));
+        let latest = |(_, at): &mut (StreamOrigin, Time)| *at = (*at).max(seen);
+        self.origins.entry(stream).and_modify(latest).or_insert((origin, seen));
+        self.order.push_back((seen, stream));
         while self.order.len() > MAX_ORIGINS {
             self.remove_first();
         }
@@ -82,10 +84,10 @@
         (now - *at < ORIGIN_RETENTION).then_some(origin)
     }
 
-    /// Returns all recent origins.
-    pub fn recent(&self, now: Time) -> impl Iterator<Item = (StreamKey, &StreamOrigin)> {
+    /// Returns all recent origins, each with the time since its stream began or was last continued.
+    pub fn recent(&self, now: Time) -> impl Iterator<Item = (StreamKey, &StreamOrigin, Duration)> {
         let recent = self.origins.iter().filter(move |(_, (_, at))| now - *at < ORIGIN_RETENTION);
-        recent.map(|(stream, (origin, _))| (*stream, origin))
+        recent.map(move |(stream, (origin, at))| (*stream, origin, now - *at))
     }
 
     fn remove_expired(&mut self, now: Time) {
--- a/core/tests/origins.rs
+++ b/core/tests/origins.rs
@@ -122,13 +122,13 @@
         let origin = StreamOrigin { service, software: chosen.clone() };
         let instance = &mut self.instances[i];
         let several = instance.history.versions(&instance.targets, &origin.service, now).len() > 1;
-        instance.origins.record(key, origin.clone(), now);
+        instance.origins.record(key, origin.clone(), now, now);
         if several {
             // Not all of the datagrams are lost at once.
             let kept = self.rng.gen_range(0..HOLDERS);
             for (n, holder) in self.holders(i, id).into_iter().take(HOLDERS).enumerate() {
                 if n == kept || !self.rng.gen_bool(self.loss) {
-                    self.instances[holder].origins.record(key, origin.clone(), now);
+                    self.instances[holder].origins.record(key, origin.clone(), now, now);
                 }
             }
         }
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -149,6 +149,12 @@
         self.software.versions(&self.engines, service, now)
     }
 
+    /// Returns whether a registration brings its service another software version.
+    pub fn adds_version(&self, target: &Registration, now: Time) -> bool {
+        let versions = self.software_versions(&target.service, now);
+        !versions.is_empty() && !versions.contains(&&target.software)
+    }
+
     /// Returns the only software version that a service has recently had, if that is certain.
     pub fn sole_software(&self, service: &ModelId, now: Time) -> Option<&SoftwareVersion> {
         self.software.sole(&self.engines, service, now)
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -111,7 +111,7 @@
     quarantine_pull: Mutex<Option<Time>>,
     /// Notified when a target has come, changed or gone.
     pub targets_changed: Notify,
-    /// Notified when targets of a service run several software versions, and one of them has changed.
+    /// Notified when a service gets another software version.
     pub versions_changed: Notify,
     stream_origins: Mutex<StreamOrigins>,
     limits_changed: Notify,
--- a/node/src/follow/software.rs
+++ b/node/src/follow/software.rs
@@ -60,8 +60,8 @@
                 continue;
             }
             backoff.record_success();
+            latest = versions;
         }
-        latest = versions;
         app.targets_changed.notified().await;
     }
 }
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -217,8 +217,12 @@
             TargetChange::Present(target) => {
                 self.missing.remove(&target.id);
                 let now = app.now();
-                let changed = app.fleet().register(&target, now);
-                if changed && app.fleet().software_versions(&target.service, now).len() > 1 {
+                let (changed, new_version) = {
+                    let mut fleet = app.fleet();
+                    let new_version = fleet.adds_version(&target, now);
+                    (fleet.register(&target, now), new_version)
+                };
+                if new_version {
                     app.versions_changed.notify_one();
                 }
                 if changed {
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -62,7 +62,7 @@
         Message::Limits(notes) => record_limits(app, &envelope.from.instance, &notes),
         Message::StreamOrigins(notes) => record_stream_origins(app, notes),
         Message::Question { number, question } => {
-            let reply = answer(app, &question);
+            let reply = answer_question(app, &question);
             let message = Message::Reply { number, reply };
             send_datagram(app, address, Some(envelope.from.instance), message).await;
         }
@@ -72,7 +72,7 @@
     }
 }
 
-fn answer(app: &App, question: &Question) -> Reply {
+fn answer_question(app: &App, question: &Question) -> Reply {
     match question {
         Question::Permit(request) => answer_permit_request(app, request),
         Question::StreamOrigin { stream, service } => {
--- a/node/src/mesh/streams.rs
+++ b/node/src/mesh/streams.rs
@@ -3,7 +3,7 @@
     crate::app::App,
     futures_util::{stream::FuturesUnordered, StreamExt},
     lentil_core::{
-        ids::{InstanceId, ModelId},
+        ids::{InstanceId, Millis, ModelId},
         mesh::{MemberInfo, Message, Question, Reply, StreamNote},
         stream::{OriginAnswer, OriginSearch, StreamKey, StreamOrigin},
     },
@@ -15,8 +15,8 @@
 /// Instances that are asked first. The instance that began the stream may come before its holders by
 /// the hash.
 const FIRST_ASKED: usize = HOLDERS + 1;
-/// Number of notes that fit one datagram.
-const NOTES_PER_DATAGRAM: usize = 8;
+/// Number of notes that fit one datagram, also with the longest names.
+const NOTES_PER_DATAGRAM: usize = 4;
 
 /// Records the origin of a stream that this instance begins or continues. If the service has several
 /// software versions, other instances learn it too: the caller may resume the stream through any
@@ -24,14 +24,14 @@
 pub async fn announce_stream(app: &App, stream: StreamKey, origin: StreamOrigin) {
     let now = app.now();
     let several = app.fleet().software_versions(&origin.service, now).len() > 1;
-    app.stream_origins().record(stream, origin.clone(), now);
+    app.stream_origins().record(stream, origin.clone(), now, now);
     if several {
-        send_to_holders(app, vec![StreamNote { stream, origin }]).await;
+        send_to_holders(app, vec![StreamNote { stream, origin, age: Millis(0) }]).await;
     }
 }
 
-/// Tells other instances the origins that this one knows, each time that the versions of a service
-/// with several have changed; never returns. Those of a single version were not told before.
+/// Tells other instances the origins that this one knows, each time that a service gets another
+/// version; never returns. Those of a single version were not told before.
 pub async fn share_stream_origins(app: Arc<App>) {
     loop {
         app.versions_changed.notified().await;
@@ -44,7 +44,10 @@
     let now = app.now();
     let notes = {
         let origins = app.stream_origins();
-        let notes = origins.recent(now).map(|(stream, o)| StreamNote { stream, origin: o.clone() });
+        let notes = origins.recent(now).map(|(stream, origin, age)| {
+            let age = Millis(age.as_millis() as u64);
+            StreamNote { stream, origin: origin.clone(), age }
+        });
         notes.collect()
     };
     send_to_holders(app, notes).await;
@@ -73,8 +76,8 @@
 pub(super) fn record_stream_origins(app: &App, notes: Vec<StreamNote>) {
     let now = app.now();
     let mut origins = app.stream_origins();
-    for StreamNote { stream, origin } in notes {
-        origins.record(stream, origin, now);
+    for StreamNote { stream, origin, age } in notes {
+        origins.record(stream, origin, now.earlier(age.duration()), now);
     }
 }
 
