--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -67,6 +67,10 @@
         if let Err(end) = self.permit_decode(export.is_some()).await {
             return end;
         }
+        // Other runs of the request may have crashed targets during the prefill or the wait.
+        if let Err(fault) = self.task.run_permission(self.task.app.now()) {
+            return AttemptEnd::Failed(fault);
+        }
         let cache = export.as_ref().and_then(Export::source).or_else(|| self.kv_source.clone());
         let target = self.choice.decode.clone();
         let prefill_here = if export.is_some() { Tokens(0) } else { self.choice.prefill_tokens };
@@ -110,9 +114,6 @@
     async fn permit_decode(&mut self, prefilled: bool) -> Result<(), AttemptEnd> {
         for denials in 1.. {
             if prefilled {
-                // Other runs of the request may have crashed targets during the prefill.
-                let allowed = self.task.run_permission(self.task.app.now());
-                allowed.map_err(AttemptEnd::Failed)?;
                 self.choice.decode = self.task.choose_decode(&self.choice.decode);
             }
             let target = self.choice.decode.clone();
