--- a/core/src/error/fault.rs
+++ b/core/src/error/fault.rs
@@ -15,6 +15,8 @@
     pub outcome: Outcome,
     /// Wait after which the caller may retry.
     pub retry: Option<Duration>,
+    /// Whether a retry before the end of this wait is certain to fail.
+    pub earliest: bool,
 }
 
 impl Fault {
@@ -28,7 +30,13 @@
     /// ```
     pub fn new(kind: ErrorKind, text: impl Into<String>) -> Self {
         let answer = kind.answer();
-        Self { kind, text: text.into(), outcome: answer.outcome, retry: answer.retry }
+        Self {
+            kind,
+            text: text.into(),
+            outcome: answer.outcome,
+            retry: answer.retry,
+            earliest: false,
+        }
     }
 
     /// Raises the retry wait to at least `wait`; never shortens it.
@@ -46,6 +54,12 @@
         self
     }
 
+    /// Sets the retry wait to `wait`, before whose end a retry is certain to fail.
+    #[must_use]
+    pub fn with_earliest_retry(self, wait: Duration) -> Self {
+        Self { retry: Some(wait), earliest: true, ..self }
+    }
+
     /// Replaces the outcome.
     #[must_use]
     pub fn with_outcome(mut self, outcome: Outcome) -> Self {
--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LoadView, Registration},
+    super::{LoadView, Notice, Registration},
     crate::{
         clock::Time,
         ids::{
@@ -10,7 +10,7 @@
         manifest::{EngineRates, EngineSpec, Role},
     },
     smallvec::SmallVec,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Largest share of a decoding engine's time that prefill may take; a larger one makes the gaps
@@ -60,6 +60,8 @@
     pub permits: PermitSchedule,
     /// Requests to it without permits.
     pub unpermitted: LocalSchedule,
+    /// Until when it wants no requests from this instance.
+    pub held: Time,
     /// True while it is leaving the fleet; it then gets no new work.
     pub leaving: bool,
     /// True while it is drained before an order; it then gets no new work.
@@ -90,6 +92,7 @@
             limit: AnnouncedLimit::default(),
             permits: PermitSchedule::default(),
             unpermitted: LocalSchedule::default(),
+            held: Time::ZERO,
             last_answer: Time::ZERO,
             leaving: false,
             draining: false,
@@ -123,6 +126,7 @@
             limit: AnnouncedLimit::default(),
             permits: PermitSchedule::default(),
             unpermitted: LocalSchedule::default(),
+            held: Time::ZERO,
             last_answer: Time::ZERO,
             leaving: target.leaving,
             draining: false,
@@ -132,9 +136,35 @@
 
     /// Returns true if new work may be sent to the engine.
     pub fn accepts_work(&self, now: Time) -> bool {
+        self.would_accept_work(now) && !self.is_held(now)
+    }
+
+    /// Like [`Self::accepts_work`] once the target wants requests again.
+    pub fn would_accept_work(&self, now: Time) -> bool {
         !self.leaving && !self.draining && !self.unavailable && self.breaker.allows(now)
     }
 
+    /// Returns true while the target wants no requests from this instance.
+    pub fn is_held(&self, now: Time) -> bool {
+        now < self.held
+    }
+
+    /// Returns the time until the target may be sent a request: it may want none, or have no permit.
+    pub fn send_wait(&self, now: Time) -> Duration {
+        self.limit.wait(now).max(self.held - now)
+    }
+
+    /// Returns true if other engines may fetch cached blocks from this one.
+    pub fn serves_copies(&self, now: Time) -> bool {
+        !self.leaving && !self.unavailable && !self.is_held(now)
+    }
+
+    /// Takes over what this incarnation, or a later one, has said of itself.
+    pub fn apply_notice(&mut self, notice: &Notice) {
+        self.leaving |= notice.leaving;
+        self.held = self.held.max(notice.held);
+    }
+
     /// Returns how many prompt tokens per second the engine prefills in its current role.
     pub fn prefill_rate(&self) -> f64 {
         match self.role {
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -10,10 +10,11 @@
 mod registration;
 mod running_mean;
 mod software_history;
+mod target_notices;
 
 pub use {
     cache::*, engine::*, in_flight::*, load::*, prefix::*, prefix_locations::*, queued_tokens::*,
-    registration::*, running_mean::*, software_history::*,
+    registration::*, running_mean::*, software_history::*, target_notices::*,
 };
 
 #[cfg(test)]
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod error;
 pub mod fleet;
+pub mod gate;
 pub mod ids;
 pub mod limit;
 pub mod manifest;
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -102,18 +102,32 @@
     match (colocated, disaggregated) {
         (Some((a, x)), Some((b, y))) => Ok(if x <= y { a } else { b }),
         (Some((pick, _)), None) | (None, Some((pick, _))) => Ok(pick),
-        (None, None) => {
-            let text = format!("no engine accepts requests for model {:?}", request.model.as_str());
-            Err(Fault::new(ErrorKind::NoTarget, text))
-        }
+        (None, None) => Err(no_engine(engines, request, now)),
+    }
+}
+
+/// Returns the fault for a request that no engine accepts. If engines could run it but want no
+/// requests now, it says when the first of them does.
+fn no_engine(engines: &[EngineView], request: &RoutingRequest, now: Time) -> Fault {
+    let held = engines.iter().filter(|e| e.role == Role::Decode && e.is_held(now));
+    let held = held.filter(|e| is_suitable(e, request) && e.would_accept_work(now));
+    if let Some(until) = held.map(|e| e.held).min() {
+        let text = "the engines that could run the request want none for a time";
+        return Fault::new(ErrorKind::NoCapacity, text).with_earliest_retry(until - now);
     }
+    let text = format!("no engine accepts requests for model {:?}", request.model.as_str());
+    Fault::new(ErrorKind::NoTarget, text)
 }
 
 fn is_eligible(engine: &EngineView, request: &RoutingRequest, now: Time) -> bool {
-    let loaded = request.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
     let excluded = request.excluded.contains(&engine.id);
-    let suitable = engine.model == request.model && loaded && request.accepts_software(engine);
-    suitable && !excluded && engine.accepts_work(now)
+    is_suitable(engine, request) && !excluded && engine.accepts_work(now)
+}
+
+/// Returns whether the engine could run the request, whatever its present state.
+fn is_suitable(engine: &EngineView, request: &RoutingRequest) -> bool {
+    let loaded = request.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
+    engine.model == request.model && loaded && request.accepts_software(engine)
 }
 
 fn keep_cheapest(best: &mut Option<Candidate>, found: Candidate, score: impl Fn(&Cost) -> f64) {
--- a/core/src/route/prefix_copies.rs
+++ b/core/src/route/prefix_copies.rs
@@ -43,7 +43,8 @@
         now: Time,
     ) -> Self {
         let Some(prefix) = shared_prefix(request) else { return Self::default() };
-        let index = |id: &EngineId| engines.iter().position(|e| e.id == *id && !e.unavailable);
+        let index =
+            |id: &EngineId| engines.iter().position(|e| e.id == *id && e.serves_copies(now));
         let mut copies = Self { tokens: shared_prefix_tokens(request), ..Self::default() };
         for (id, progress) in locations.copies(prefix, now) {
             let list = match progress {
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -3,7 +3,7 @@
         http::{call, json_request, read_all, request, Body, BufferedResponse, Connection},
         ports::{
             Answer, AnswerPart, AuthorityCheck, ChunkStream, Command, Engine, EngineError, Job,
-            LoadReport,
+            LoadReport, SendCheck, Target,
         },
     },
     bytes::BytesMut,
@@ -41,22 +41,24 @@
     pub fence: Fence,
 }
 
-/// Sends an order if `authority` still holds once the connection is established. The timeouts are
-/// for the connection and for the response head.
+/// Sends an order if `authority` still holds and `check` passes once the connection is established.
+/// The timeouts are for the connection and for the response head.
 ///
 /// # Errors
-/// Returns [`EngineError::NoAuthority`] if `authority` no longer holds, in which case nothing was
-/// sent, or the error of the connection or request.
+/// Returns [`EngineError::NoAuthority`] if `authority` no longer holds, or [`EngineError::Denied`],
+/// in which cases nothing was sent, or the error of the connection or request.
 pub async fn send_order(
     at: SocketAddr,
     request: Request<Body>,
     authority: AuthorityCheck<'_>,
+    check: SendCheck<'_>,
     [connect_timeout, response_timeout]: [Duration; 2],
 ) -> Result<Response<Incoming>, EngineError> {
     let connection = Connection::open(at, connect_timeout).await?;
     if !authority() {
         return Err(EngineError::NoAuthority);
     }
+    check().map_err(EngineError::Denied)?;
     Ok(connection.send(request, response_timeout).await?)
 }
 
@@ -73,8 +75,14 @@
     }
 
     /// Sends a request and returns the body of a response with status 200.
-    async fn send(&self, at: SocketAddr, request: Request<Body>) -> Result<Incoming, EngineError> {
+    async fn send(
+        &self,
+        at: SocketAddr,
+        request: Request<Body>,
+        check: SendCheck<'_>,
+    ) -> Result<Incoming, EngineError> {
         let connection = Connection::open(at, CONNECT_TIMEOUT).await.map_err(EngineError::from)?;
+        check().map_err(EngineError::Denied)?;
         let response = connection.send(request, READ_TIMEOUT).await.map_err(EngineError::from)?;
         let status = response.status().as_u16();
         if status == 200 {
@@ -163,19 +171,31 @@
 }
 
 impl Engine for HttpEngine {
-    fn generate(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<Answer, EngineError>> {
+    fn generate<'a>(
+        &'a self,
+        target: &'a Target,
+        job: Job,
+        check: SendCheck<'a>,
+    ) -> BoxFuture<'a, Result<Answer, EngineError>> {
         async move {
+            let at = target.address;
             let request = json_request(Method::POST, at, "/v1/runs", &job);
-            let chunks = self.send(at, request).await.map(chunks)?;
+            let chunks = self.send(at, request, check).await.map(chunks)?;
             Ok(Answer { head: None, parts: chunks.map(|c| c.map(AnswerPart::Chunk)).boxed() })
         }
         .boxed()
     }
 
-    fn prefill(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<RunId, EngineError>> {
+    fn prefill<'a>(
+        &'a self,
+        target: &'a Target,
+        job: Job,
+        check: SendCheck<'a>,
+    ) -> BoxFuture<'a, Result<RunId, EngineError>> {
         async move {
+            let at = target.address;
             let request = json_request(Method::POST, at, "/v1/prefills", &job);
-            let body = self.send(at, request).await?;
+            let body = self.send(at, request, check).await?;
             let result = timeout(READ_TIMEOUT, read_all(body, MAX_SHORT_BODY_BYTES)).await;
             result
                 .map_err(|_| EngineError::Timeout)?
@@ -193,19 +213,24 @@
     ) -> BoxFuture<'a, Result<ChunkStream, EngineError>> {
         async move {
             let path = format!("/v1/runs/{run}?from={from}");
-            self.send(at, request(Method::GET, at, &path, "")).await.map(chunks)
+            let resumes = request(Method::GET, at, &path, "");
+            self.send(at, resumes, &|| Ok(())).await.map(chunks)
         }
         .boxed()
     }
 
     fn cancel<'a>(
         &'a self,
-        at: SocketAddr,
+        target: &'a Target,
         run: &'a RunId,
+        check: SendCheck<'a>,
     ) -> BoxFuture<'a, Result<(), EngineError>> {
         async move {
+            let at = target.address;
             let request = request(Method::DELETE, at, &format!("/v1/runs/{run}"), "");
-            call(at, request, self.timeout).await.map(|_| ()).map_err(EngineError::from)
+            let connection = Connection::open(at, self.timeout).await?;
+            check().map_err(EngineError::Denied)?;
+            Ok(connection.exchange(request, self.timeout).await.map(|_| ())?)
         }
         .boxed()
     }
@@ -214,26 +239,37 @@
         self.get_json(at, "/v1/load").boxed()
     }
 
-    fn report(&self, at: SocketAddr) -> BoxFuture<'_, Result<EngineReport, EngineError>> {
-        self.get_json(at, "/v1/state").boxed()
+    fn report<'a>(
+        &'a self,
+        target: &'a Target,
+        check: SendCheck<'a>,
+    ) -> BoxFuture<'a, Result<EngineReport, EngineError>> {
+        async move {
+            check().map_err(EngineError::Denied)?;
+            self.get_json(target.address, "/v1/state").await
+        }
+        .boxed()
     }
 
     fn order<'a>(
         &'a self,
-        at: SocketAddr,
+        target: &'a Target,
         command: Command,
         authority: AuthorityCheck<'a>,
+        check: SendCheck<'a>,
     ) -> BoxFuture<'a, Result<(), EngineError>> {
         async move {
+            let at = target.address;
             let request = json_request(Method::POST, at, "/v1/orders", &command);
-            let response =
-                send_order(at, request, authority, [CONNECT_TIMEOUT, self.order_timeout]).await?;
-            let status = response.status().as_u16();
-            let body = timeout(self.order_timeout, read_all(response.into_body(), MAX_LINE_BYTES))
+            let timeouts = [CONNECT_TIMEOUT, self.order_timeout];
+            let response = send_order(at, request, authority, check, timeouts).await?;
+            let (head, body) = response.into_parts();
+            let (status, headers) = (head.status.as_u16(), head.headers);
+            let body = timeout(self.order_timeout, read_all(body, MAX_LINE_BYTES))
                 .await
                 .map_err(|_| EngineError::Timeout)?
                 .map_err(|e| EngineError::Lost(e.to_string()))?;
-            let response = BufferedResponse { status, body };
+            let response = BufferedResponse { status, headers, body };
             if status == 409 {
                 let reply: FencedReply = response.json().map_err(EngineError::Malformed)?;
                 return Err(EngineError::Fenced(reply.fence));
--- a/node/src/app/limits.rs
+++ b/node/src/app/announcements.rs
@@ -1,11 +1,12 @@
 use {
     super::App,
-    crate::ports::LimitObserver,
+    crate::ports::{Announcement, AnswerObserver, Target},
     lentil_core::{
         clock::Time,
         ids::{EngineId, Incarnation, Millis, RequestRate},
-        mesh::LimitNote,
+        mesh::{LimitNote, Update},
     },
+    std::time::Duration,
 };
 
 impl App {
@@ -38,15 +39,44 @@
         self.limits_changed.notified().await;
         std::mem::take(&mut *super::lock(&self.limit_notes))
     }
+
+    /// Records that a target is leaving, and tells the other instances. Nothing else that this
+    /// instance hears takes that back while the target's process lives.
+    fn record_leaving(&self, target: &Target) {
+        let now = self.now();
+        if !self.fleet().record_leaving(&target.id, target.boot, now) {
+            return;
+        }
+        log::info!("notice: target={} boot={} leaving=yes from=answer", target.id, target.boot);
+        let (engine, boot) = (target.id.clone(), target.boot);
+        self.member_view().queue_update(Update::Leaving { engine, boot });
+        self.targets_changed.notify_one();
+    }
+
+    /// Records that a target wants no requests from this instance for `time`.
+    fn record_hold(&self, target: &Target, time: Duration) {
+        let now = self.now();
+        if self.fleet().record_hold(&target.id, target.boot, now + time, now) {
+            let ms = time.as_millis();
+            log::info!("notice: target={} boot={} held_ms={ms}", target.id, target.boot);
+        }
+    }
 }
 
-impl LimitObserver for App {
+impl AnswerObserver for App {
     fn now(&self) -> Time {
         self.now()
     }
 
-    fn record_answer(&self, target: &EngineId, announced: Option<RequestRate>, sent: Time) {
-        if let Some(note) = self.record_limit(target, None, announced, sent, "answer") {
+    fn record_answer(&self, target: &Target, announced: &Announcement, sent: Time) {
+        if announced.leaving {
+            self.record_leaving(target);
+        }
+        if let Some(time) = announced.hold {
+            self.record_hold(target, time);
+        }
+        let Some(limit) = announced.limit else { return };
+        if let Some(note) = self.record_limit(&target.id, None, limit, sent, "answer") {
             super::lock(&self.limit_notes).push(note);
             self.limits_changed.notify_one();
         }
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -1,8 +1,10 @@
 use {
     lentil_core::{
         clock::Time,
-        fleet::{EngineView, Registration, RunningMean, SoftwareHistory},
-        ids::{EngineId, ModelId, ServiceId, SoftwareVersion, TargetId, TokenRate, Zone},
+        fleet::{EngineView, Registration, RunningMean, SoftwareHistory, TargetNotices},
+        ids::{
+            EngineId, Incarnation, ModelId, ServiceId, SoftwareVersion, TargetId, TokenRate, Zone,
+        },
         limit::Breaker,
         manifest::{Manifest, Role},
     },
@@ -33,6 +35,8 @@
     pub last_read: Time,
     /// Software versions of targets that are gone.
     pub software: SoftwareHistory,
+    /// What targets said of themselves in their answers.
+    notices: TargetNotices,
     pauses: HashMap<EngineId, Pause>,
     learned: HashMap<ModelId, LearnedRates>,
 }
@@ -113,6 +117,10 @@
         let Some(engine) = self.engines.iter_mut().find(|e| e.id == target.id) else {
             let mut engine = EngineView { settled, ..EngineView::from_registration(target) };
             learned.apply(&mut engine);
+            self.notices
+                .of(&engine.id, engine.boot)
+                .into_iter()
+                .for_each(|n| engine.apply_notice(n));
             self.engines.push(engine);
             return true;
         };
@@ -122,6 +130,10 @@
             self.software.record_gone(engine, now);
             *engine = EngineView { settled, ..EngineView::from_registration(target) };
             learned.apply(engine);
+            self.notices
+                .of(&engine.id, engine.boot)
+                .into_iter()
+                .for_each(|n| engine.apply_notice(n));
             return true;
         }
         // A target that is leaving does not come back in the same incarnation.
@@ -133,6 +145,33 @@
         changed
     }
 
+    /// Records that a target's process said in an answer that it is leaving; returns whether that
+    /// is new.
+    pub fn record_leaving(&mut self, id: &EngineId, boot: Incarnation, now: Time) -> bool {
+        let new = self.notices.record_leaving(id, boot, now);
+        self.apply_notices(id);
+        new
+    }
+
+    /// Records that a target's process wants no requests until `until`; returns whether that is
+    /// later than what was known.
+    pub fn record_hold(
+        &mut self,
+        id: &EngineId,
+        boot: Incarnation,
+        until: Time,
+        now: Time,
+    ) -> bool {
+        let new = self.notices.record_hold(id, boot, until, now);
+        self.apply_notices(id);
+        new
+    }
+
+    fn apply_notices(&mut self, id: &EngineId) {
+        let Some(engine) = self.engines.iter_mut().find(|e| e.id == *id) else { return };
+        self.notices.of(id, engine.boot).into_iter().for_each(|n| engine.apply_notice(n));
+    }
+
     /// Removes a target whose entry is gone; returns `true` if it was known.
     pub fn deregister(&mut self, id: &EngineId, now: Time) -> bool {
         let Some(index) = self.engines.iter().position(|e| e.id == *id) else { return false };
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -2,12 +2,13 @@
 
 mod active_manifest;
 mod admission;
+mod announcements;
 mod clock;
 mod fleet;
 mod holders;
-mod limits;
+mod send_gate;
 
-pub use {active_manifest::*, admission::*, clock::*, fleet::*, holders::*};
+pub use {active_manifest::*, admission::*, clock::*, fleet::*, holders::*, send_gate::*};
 
 use {
     crate::{
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -43,7 +43,7 @@
         let mean = balancer.mean();
         let eligible = |e: &&&EngineView| {
             let last = role == Role::Prefill && is_last_decoding(&serving, e);
-            e.role != role && !last && !self.unsettled.contains(&e.id)
+            e.role != role && !last && !e.is_held(now) && !self.unsettled.contains(&e.id)
         };
         let engine = serving.iter().filter(eligible).min_by_key(|e| expected_load(e, now))?;
         log::info!(
@@ -96,16 +96,17 @@
     let (mut running, mut slots) = (0, 0);
     for engine in engines {
         let load = engine.load.expected(engine.prefill_rate(), 1, now);
-        // An engine whose rate limit is used up can take no more work, however idle it is.
-        let permit_wait = engine.limit.wait(now).as_secs_f64();
+        // An engine whose rate limit is used up, or that wants no requests, can take no more work,
+        // however idle it is.
+        let send_wait = engine.send_wait(now).as_secs_f64();
         match engine.role {
             Role::Prefill => {
-                let seconds = load.queued.0 as f64 / engine.prefill_rate() + permit_wait;
+                let seconds = load.queued.0 as f64 / engine.prefill_rate() + send_wait;
                 prefill += (seconds / FULL_QUEUE_S).min(1.0);
                 prefilling += 1;
             }
             Role::Decode => {
-                running += if permit_wait > 0.0 { engine.rates.slots } else { load.running };
+                running += if send_wait > 0.0 { engine.rates.slots } else { load.running };
                 slots += engine.rates.slots;
             }
         }
--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -156,7 +156,9 @@
 
     /// Returns whether the engine has carried out the order, and counts a completed role change.
     async fn completed(&self, app: &App) -> bool {
-        let report = app.ports.engines.report(self.spec.address).await;
+        let target = app.addressee(&self.engine, self.spec.address);
+        let check = || app.check_control(&target);
+        let report = app.ports.engines.report(&target, &check).await;
         let done = report.is_ok_and(|r| r.fulfils(&self.order));
         if done && matches!(self.order, Order::Role(_)) {
             app.metrics.role_changes.inc();
--- a/node/src/control/controller.rs
+++ b/node/src/control/controller.rs
@@ -253,7 +253,9 @@
         let engines = index.manifest.engines.iter();
         let engines = engines.filter(|(id, spec)| spec.cell == self.cell && eligible(id));
         let reads = engines.map(|(id, spec)| async move {
-            let report = app.ports.engines.report(spec.address).await.ok()?;
+            let target = app.addressee(id, spec.address);
+            let check = || app.check_control(&target);
+            let report = app.ports.engines.report(&target, &check).await.ok()?;
             Some(ReportedEngine { id: id.clone(), spec: spec.clone(), report })
         });
         join_all(reads).await.into_iter().flatten().collect()
--- a/node/src/control/orders.rs
+++ b/node/src/control/orders.rs
@@ -2,7 +2,7 @@
     super::{evidence::EvidenceSearch, held_cell::HeldCell},
     crate::{
         app::App,
-        ports::{Command, EngineError, OrderContext, StoreError},
+        ports::{Command, EngineError, OrderContext, StoreError, Target},
     },
     lentil_core::{
         ids::{EngineId, Fence},
@@ -32,7 +32,9 @@
         spec: &EngineSpec,
         order: Order,
     ) -> Result<OrderResult, StoreError> {
-        let Ok(report) = app.ports.engines.report(spec.address).await else {
+        let target = app.addressee(id, spec.address);
+        let check = || app.check_control(&target);
+        let Ok(report) = app.ports.engines.report(&target, &check).await else {
             return Ok(OrderResult::Refused);
         };
         if report.fulfils(&order) {
@@ -55,7 +57,7 @@
         }
         let context = Some(OrderContext { engine: id.clone(), by: app.identity.clone(), before });
         let command = Command { number, order, context };
-        let (result, label) = match self.send(app, spec, command).await {
+        let (result, label) = match self.send(app, &target, command).await {
             Ok(()) => (OrderResult::Accepted, "taken"),
             Err(EngineError::Fenced(seen)) => {
                 self.ledger.skip_past(seen);
@@ -81,17 +83,13 @@
     }
 
     /// Sends a command while the lease is valid. Stepping down waits until the send has ended.
-    async fn send(
-        &self,
-        app: &App,
-        spec: &EngineSpec,
-        command: Command,
-    ) -> Result<(), EngineError> {
+    async fn send(&self, app: &App, target: &Target, command: Command) -> Result<(), EngineError> {
         let cell_lease = self.cell_lease.clone();
         let _in_flight = cell_lease.order_lock.lock().await;
         let clock = app.clock;
         let lease_valid = || cell_lease.valid(clock.now());
-        app.ports.engines.order(spec.address, command, &lease_valid).await
+        let check = || app.check_control(target);
+        app.ports.engines.order(target, command, &lease_valid, &check).await
     }
 
     /// Tries to settle an open order; returns whether it is settled.
@@ -103,7 +101,9 @@
         entry: &Entry,
         spec: &EngineSpec,
     ) -> Result<bool, StoreError> {
-        let Ok(report) = app.ports.engines.report(spec.address).await else { return Ok(false) };
+        let target = app.addressee(id, spec.address);
+        let check = || app.check_control(&target);
+        let Ok(report) = app.ports.engines.report(&target, &check).await else { return Ok(false) };
         let evidence = match spec.fenced || entry.by == app.identity {
             true => ReleaseEvidence::None,
             false => {
@@ -133,7 +133,7 @@
                 let context =
                     Some(OrderContext { engine: id.clone(), by: app.identity.clone(), before });
                 let command = Command { number, order, context };
-                if let Err(error) = self.send(app, spec, command).await {
+                if let Err(error) = self.send(app, &target, command).await {
                     log::info!(
                         "control: order {number} to engine {id}, sent to settle order {}, failed: {error}",
                         entry.number
--- a/node/src/http/client.rs
+++ b/node/src/http/client.rs
@@ -1,10 +1,10 @@
 use {
-    super::{full, read_all, Body},
+    super::{full, read_all, Body, LimitedStream, ReadAllowance},
     bytes::Bytes,
     hyper::{
         body::Incoming,
         client::conn::http1::{self, SendRequest},
-        header, Method, Request, Response,
+        header, HeaderMap, Method, Request, Response,
     },
     hyper_util::rt::TokioIo,
     serde::{de::DeserializeOwned, Serialize},
@@ -13,6 +13,10 @@
     tokio::{net::TcpStream, task::JoinHandle, time::timeout},
 };
 
+/// Maximum size of a connection's read buffer, and thus of a response head.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// Timeout of a connection that only shows whether a process listens.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of a response body that [`call`] reads.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
@@ -46,8 +50,30 @@
 /// server has closed the connection in the meantime, which must never happen to a run-once request.
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<Body>,
-    task: JoinHandle<()>,
+    channel: Channel,
+}
+
+/// HTTP/1 exchange over one connection, and the task that drives it.
+pub(super) struct Channel {
+    pub(super) sender: SendRequest<Body>,
+    pub(super) task: JoinHandle<()>,
+    pub(super) allowance: ReadAllowance,
+}
+
+impl Channel {
+    /// Begins an HTTP/1 exchange on a connection. What the server may send is limited.
+    pub(super) async fn open(stream: TcpStream) -> hyper::Result<Self> {
+        let allowance = ReadAllowance::for_head();
+        let stream = TokioIo::new(LimitedStream::new(stream, allowance.clone()));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let (sender, driver) = builder.handshake(stream).await?;
+        let task = tokio::spawn(async move {
+            // The sender reports the same error.
+            let _ = driver.await;
+        });
+        Ok(Self { sender, task, allowance })
+    }
 }
 
 impl Connection {
@@ -63,13 +89,8 @@
             .map_err(|_| CallError::ConnectTimeout(address))?
             .map_err(|e| not_sent(e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))?;
-        let task = tokio::spawn(async move {
-            // The sender reports the same error.
-            let _ = driver.await;
-        });
-        Ok(Self { address, sender, task })
+        let channel = Channel::open(stream).await.map_err(|e| not_sent(e.to_string()))?;
+        Ok(Self { address, channel })
     }
 
     /// Sends the request and waits up to `response_timeout` for the response head.
@@ -81,22 +102,33 @@
         request: Request<Body>,
         response_timeout: Duration,
     ) -> Result<Response<Incoming>, CallError> {
-        match timeout(response_timeout, self.sender.send_request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+        match timeout(response_timeout, self.channel.sender.send_request(request)).await {
+            Ok(Ok(response)) => {
+                self.channel.allowance.expect_body();
+                Ok(response)
+            }
             Ok(Err(e)) => Err(CallError::Lost(self.address, e.to_string())),
             Err(_) => {
-                self.task.abort();
+                self.channel.task.abort();
                 Err(CallError::Timeout(self.address))
             }
         }
     }
 }
 
+/// Returns whether a process accepts connections at `address`; sends nothing.
+pub async fn accepts_connections(address: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    !matches!(connected, Ok(Err(_)))
+}
+
 /// A response whose body has been read completely.
 #[derive(Debug, Clone)]
 pub struct BufferedResponse {
     /// HTTP status code.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -140,6 +172,29 @@
     request
 }
 
+impl Connection {
+    /// Sends a request and reads the complete response within `timeout`.
+    ///
+    /// # Errors
+    /// Returns [`CallError`] if the request fails.
+    pub async fn exchange(
+        self,
+        request: Request<Body>,
+        timeout: Duration,
+    ) -> Result<BufferedResponse, CallError> {
+        let address = self.address;
+        let exchange = async {
+            let response = self.send(request, timeout).await?;
+            let (head, body) = response.into_parts();
+            let body = read_all(body, MAX_RESPONSE_BYTES)
+                .await
+                .map_err(|e| CallError::Lost(address, e.to_string()))?;
+            Ok(BufferedResponse { status: head.status.as_u16(), headers: head.headers, body })
+        };
+        tokio::time::timeout(timeout, exchange).await.map_err(|_| CallError::Timeout(address))?
+    }
+}
+
 /// Sends a request on a new connection and reads the complete response.
 ///
 /// `timeout` applies to connecting, and separately to the rest of the exchange.
@@ -151,14 +206,5 @@
     request: Request<Body>,
     timeout: Duration,
 ) -> Result<BufferedResponse, CallError> {
-    let connection = Connection::open(address, timeout).await?;
-    let exchange = async {
-        let response = connection.send(request, timeout).await?;
-        let status = response.status().as_u16();
-        let body = read_all(response.into_body(), MAX_RESPONSE_BYTES)
-            .await
-            .map_err(|e| CallError::Lost(address, e.to_string()))?;
-        Ok(BufferedResponse { status, body })
-    };
-    tokio::time::timeout(timeout, exchange).await.map_err(|_| CallError::Timeout(address))?
+    Connection::open(address, timeout).await?.exchange(request, timeout).await
 }
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -1,8 +1,10 @@
 //! HTTP server and client, based on hyper.
 
 mod body;
+mod body_budget;
 mod client;
+mod limited_stream;
 mod pool;
 mod server;
 
-pub use {body::*, client::*, pool::*, server::*};
+pub use {body::*, body_budget::*, client::*, limited_stream::*, pool::*, server::*};
--- a/node/src/http/pool.rs
+++ b/node/src/http/pool.rs
@@ -1,11 +1,6 @@
 use {
-    super::{Body, CallError},
-    hyper::{
-        body::Incoming,
-        client::conn::http1::{self, SendRequest},
-        header, HeaderMap, Request, Response,
-    },
-    hyper_util::rt::TokioIo,
+    super::{client::Channel, Body, CallError},
+    hyper::{body::Incoming, header, HeaderMap, Request, Response},
     socket2::{SockRef, TcpKeepalive},
     std::{
         collections::HashMap,
@@ -13,7 +8,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
-    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+    tokio::{net::TcpStream, time::timeout},
 };
 
 /// Time without acknowledgement of sent data after which a connection fails.
@@ -35,24 +30,19 @@
 }
 
 struct IdleConnection {
-    connection: ClientConnection,
+    connection: Channel,
     since: Instant,
     /// Idle time within which the connection may be reused.
     reusable_for: Duration,
 }
 
-struct ClientConnection {
-    sender: SendRequest<Body>,
-    task: JoinHandle<()>,
-}
-
 /// A connection in use. Dropping it closes the connection; [`release`](Self::release) returns it to
 /// the pool.
 pub struct PooledConnection {
     pool: Arc<Pool>,
     name: String,
     address: SocketAddr,
-    connection: Option<ClientConnection>,
+    connection: Option<Channel>,
     reused: bool,
 }
 
@@ -92,7 +82,7 @@
         self: &Arc<Self>,
         name: &str,
         address: SocketAddr,
-        connection: ClientConnection,
+        connection: Channel,
         reused: bool,
     ) -> PooledConnection {
         PooledConnection {
@@ -104,7 +94,7 @@
         }
     }
 
-    fn take_idle(&self, name: &str) -> Option<ClientConnection> {
+    fn take_idle(&self, name: &str) -> Option<Channel> {
         let now = Instant::now();
         let mut idle = self.idle();
         let list = idle.get_mut(name)?;
@@ -123,20 +113,14 @@
         &self,
         address: SocketAddr,
         connect_timeout: Duration,
-    ) -> Result<ClientConnection, CallError> {
+    ) -> Result<Channel, CallError> {
         let failed = |text: String| CallError::NotSent(address, text);
         let stream = timeout(connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| CallError::ConnectTimeout(address))?
             .map_err(|e| failed(e.to_string()))?;
         configure_socket(&stream).map_err(|e| failed(e.to_string()))?;
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(e.to_string()))?;
-        let task = tokio::spawn(async move {
-            // The sender reports the same error.
-            let _ = driver.await;
-        });
-        Ok(ClientConnection { sender, task })
+        Channel::open(stream).await.map_err(|e| failed(e.to_string()))
     }
 
     /// Closes all idle connections to the server `name`.
@@ -196,8 +180,12 @@
         let Some(connection) = &mut self.connection else {
             return Err(lost("connection is closed".into()));
         };
+        connection.allowance.expect_head();
         match timeout(response_timeout, connection.sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                connection.allowance.expect_body();
+                Ok(response)
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 Some(request) => Err(SendFailure::Unsent(Box::new(request))),
                 None => Err(lost(error.into_error().to_string())),
@@ -214,6 +202,7 @@
         if closes || connection.sender.is_closed() {
             return connection.task.abort();
         }
+        connection.allowance.expect_head();
         let reusable_for = announced_idle_timeout(headers)
             .map_or(DEFAULT_IDLE_TIMEOUT, |t| t.mul_f64(REUSABLE_IDLE_SHARE));
         let idle = IdleConnection { connection, since: Instant::now(), reusable_for };
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -65,6 +65,12 @@
     pub limited_targets: IntGauge,
     /// Requests for permits to send to limited targets, by result.
     pub permits: IntCounterVec,
+    /// Sends that were not made because a rule forbade them when the connection was ready.
+    pub denied_sends: IntCounterVec,
+    /// Targets that this instance knows to be leaving.
+    pub leaving_targets: IntGauge,
+    /// Targets that want no requests from this instance for a time.
+    pub held_targets: IntGauge,
     /// Milliseconds since this instance last read the directory or got its changes relayed.
     pub directory_age: IntGauge,
     /// Other instances that the failure detector considers alive.
@@ -177,6 +183,13 @@
                 "Permits requested for targets with a rate limit",
                 &["end"],
             ),
+            denied_sends: counters(
+                "lentil_sends_denied_total",
+                "Sends not made since a rule forbade them when the connection was ready",
+                &["kind", "reason"],
+            ),
+            leaving_targets: gauge("lentil_targets_leaving", "Targets known to be leaving"),
+            held_targets: gauge("lentil_targets_held", "Targets that want no requests for a time"),
             directory_age: gauge(
                 "lentil_directory_age_ms",
                 "Milliseconds since the directory told of targets",
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -1,10 +1,12 @@
 use {
-    crate::http::CallError,
+    super::Target,
+    crate::http::{accepts_connections, CallError},
     bytes::Bytes,
-    futures_util::{future::BoxFuture, stream::BoxStream},
+    futures_util::{future::BoxFuture, stream::BoxStream, FutureExt},
     hyper::{HeaderMap, Method},
     lentil_core::{
         fleet::{CacheEvent, Load},
+        gate::Denial,
         ids::{AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, Rank, RunId},
         manifest::Role,
         order::{EngineReport, Holder, Order},
@@ -166,6 +168,9 @@
     /// The engine did not accept a connection in time: nothing was sent.
     #[error("engine did not accept a connection in time: {0}")]
     Unreachable(String),
+    /// The engine may not be sent the request now: nothing was sent.
+    #[error("request was not sent to the engine: {0}")]
+    Denied(Denial),
     /// The engine refused the request without acting on it.
     #[error("engine refused the request: {0}")]
     Refused(String),
@@ -197,7 +202,7 @@
 
     /// Returns whether nothing was sent to the engine.
     pub fn not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Unreachable(_))
+        matches!(self, Self::NotSent(_) | Self::Unreachable(_) | Self::Denied(_))
     }
 }
 
@@ -219,13 +224,27 @@
 /// called just before an order is sent.
 pub type AuthorityCheck<'a> = &'a (dyn Fn() -> bool + Send + Sync);
 
+/// Callback that returns whether the target may be sent a request now. It is called once the
+/// connection is ready, right before the first byte is sent.
+pub type SendCheck<'a> = &'a (dyn Fn() -> Result<(), Denial> + Send + Sync);
+
 /// Client for model engines.
 pub trait Engine: Send + Sync {
     /// Starts a run and streams its answer.
-    fn generate(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<Answer, EngineError>>;
+    fn generate<'a>(
+        &'a self,
+        target: &'a Target,
+        job: Job,
+        check: SendCheck<'a>,
+    ) -> BoxFuture<'a, Result<Answer, EngineError>>;
 
     /// Prefills a prompt; the engine keeps the KV cache for export under the returned run.
-    fn prefill(&self, at: SocketAddr, job: Job) -> BoxFuture<'_, Result<RunId, EngineError>>;
+    fn prefill<'a>(
+        &'a self,
+        target: &'a Target,
+        job: Job,
+        check: SendCheck<'a>,
+    ) -> BoxFuture<'a, Result<RunId, EngineError>>;
 
     /// Streams the answer of an existing run from token offset `from` on.
     fn resume<'a>(
@@ -238,22 +257,34 @@
     /// Cancels a run.
     fn cancel<'a>(
         &'a self,
-        at: SocketAddr,
+        target: &'a Target,
         run: &'a RunId,
+        check: SendCheck<'a>,
     ) -> BoxFuture<'a, Result<(), EngineError>>;
 
     /// Reads the engine's load report, which may lag behind the actual load.
     fn load(&self, at: SocketAddr) -> BoxFuture<'_, Result<LoadReport, EngineError>>;
 
     /// Reads the current state of the engine: role, fencing number, version and adapters.
-    fn report(&self, at: SocketAddr) -> BoxFuture<'_, Result<EngineReport, EngineError>>;
+    fn report<'a>(
+        &'a self,
+        target: &'a Target,
+        check: SendCheck<'a>,
+    ) -> BoxFuture<'a, Result<EngineReport, EngineError>>;
+
+    /// Returns whether a process accepts connections at the target's address; sends nothing.
+    fn listens<'a>(&'a self, target: &'a Target) -> BoxFuture<'a, bool> {
+        accepts_connections(target.address).boxed()
+    }
 
-    /// Sends an order, if `authority` still holds once the connection is established.
+    /// Sends an order, if `authority` still holds and `check` passes once the connection is
+    /// established.
     fn order<'a>(
         &'a self,
-        at: SocketAddr,
+        target: &'a Target,
         command: Command,
         authority: AuthorityCheck<'a>,
+        check: SendCheck<'a>,
     ) -> BoxFuture<'a, Result<(), EngineError>>;
 
     /// Reads the prefix cache events published so far, from number `from` on.
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -6,7 +6,7 @@
         http::Body,
     },
     hyper::Response,
-    lentil_core::{ids::EngineId, manifest::Role},
+    lentil_core::{fleet::EngineView, ids::EngineId, manifest::Role},
     std::collections::BTreeSet,
 };
 
@@ -43,16 +43,22 @@
         let view = app.member_view();
         (view.live().count(), view.fleet_size(now), view.dropped_updates())
     };
-    let (known, ejected, limited, age) = {
+    let (known, ejected, limited, [leaving, held], age) = {
         let fleet = app.fleet();
         let known: BTreeSet<EngineId> = fleet.engines.iter().map(|e| e.id.clone()).collect();
         let ejected = fleet.engines.iter().filter(|e| !e.breaker.allows(now)).count();
         let limited = fleet.engines.iter().filter(|e| e.limit.rate().is_some()).count();
-        (known, ejected, limited, (now - fleet.last_read).as_millis())
+        let count = |of: &dyn Fn(&EngineView) -> bool| {
+            fleet.engines.iter().filter(|e| of(e)).count() as i64
+        };
+        let states = [count(&|e| e.leaving), count(&|e| e.is_held(now))];
+        (known, ejected, limited, states, (now - fleet.last_read).as_millis())
     };
     app.metrics.known_targets.set(known.len() as i64);
     app.metrics.ejected_targets.set(ejected as i64);
     app.metrics.limited_targets.set(limited as i64);
+    app.metrics.leaving_targets.set(leaving);
+    app.metrics.held_targets.set(held);
     app.metrics.directory_age.set(age as i64);
     app.metrics.retain_targets(|target| known.contains(target));
     app.metrics.resends_left.set(app.admission().resends_left(size, now));
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -1,18 +1,22 @@
 use {
     super::{
+        engine_choice::{EngineChoice, MigratedRun},
         export::Export,
         in_flight::InFlightGuard,
-        permit::{PermitDenied, MAX_DENIALS},
-        task::{EngineChoice, Target, Task},
+        send::MAX_DENIALS,
+        task::Task,
         Piece,
     },
     crate::{
-        app::random_id,
-        ports::{Answer, AnswerHead, AnswerPart, CacheSource, EngineError, Job, ProxyAttempt},
+        app::{random_id, SendGate},
+        ports::{
+            Answer, AnswerHead, AnswerPart, CacheSource, EngineError, Job, ProxyAttempt, Target,
+        },
     },
     futures_util::StreamExt,
     lentil_core::{
         error::{ErrorKind, Fault, Outcome},
+        gate::{Denial, SendKind},
         ids::{RunId, Tokens},
         stream::{Chunk, StreamCheck, Ticket},
     },
@@ -26,9 +30,9 @@
     /// The caller disconnected.
     CallerGone,
     /// The engine is draining: the run continues on another engine, which fetches the KV cache.
-    Migrated(EngineChoice, CacheSource),
-    /// Nothing was sent: a chosen target has no permit for the request.
-    Denied(PermitDenied),
+    Migrated(Box<EngineChoice>, MigratedRun),
+    /// Nothing was sent: the target may not be sent the request now.
+    Denied(Denial),
     /// The attempt failed.
     Failed(Fault),
 }
@@ -38,8 +42,8 @@
     task: &'a mut Task,
     choice: EngineChoice,
     run: RunId,
-    /// Where a migrated run left its KV cache.
-    kv_source: Option<CacheSource>,
+    /// The run that this one continues on another engine.
+    migrated: Option<MigratedRun>,
     /// Head of the answer, held back until the first piece arrives: until then the request can be
     /// retried on another target.
     head: Option<AnswerHead>,
@@ -49,13 +53,13 @@
 const MIN_MIGRATION_TOKENS: u32 = 8;
 
 impl<'a> Attempt<'a> {
-    /// Creates an attempt; `kv_source` holds the KV cache if the run continues a migrated one.
+    /// Creates an attempt; `migrated` is the run that it continues, if any.
     pub(super) fn new(
         task: &'a mut Task,
         choice: EngineChoice,
-        kv_source: Option<CacheSource>,
+        migrated: Option<MigratedRun>,
     ) -> Self {
-        Self { task, choice, run: random_id("r"), kv_source, head: None }
+        Self { task, choice, run: random_id("r"), migrated, head: None }
     }
 
     /// Runs the request and forwards the answer to the caller.
@@ -64,38 +68,55 @@
             Ok(export) => export,
             Err(end) => return end,
         };
-        if let Err(end) = self.permit_decode(export.is_some()).await {
-            return end;
-        }
-        // Other runs of the request may have crashed targets during the prefill or the wait.
-        if let Err(fault) = self.task.run_permission(self.task.app.now()) {
-            return AttemptEnd::Failed(fault);
+        let mut denials = 0;
+        loop {
+            if export.is_some() {
+                self.choice.decode = self.task.choose_decode(&self.choice.decode);
+            }
+            match self.send_run(export.as_mut()).await {
+                Ok((answer, mut guard)) => return self.forward(answer, &mut guard).await,
+                // The prefilled prompt stays; only the decode engine is chosen again.
+                Err(AttemptEnd::Denied(denial)) if export.is_some() => {
+                    denials += 1;
+                    if denials >= MAX_DENIALS || matches!(denial, Denial::Refuse(_)) {
+                        return AttemptEnd::Failed(denial.into_fault(self.task.app.now()));
+                    }
+                }
+                Err(end) => return end,
+            }
         }
-        let cache = export.as_ref().and_then(Export::source).or_else(|| self.kv_source.clone());
+    }
+
+    /// Sends the request to the decode engine, and waits for the head of its answer.
+    async fn send_run(
+        &mut self,
+        mut export: Option<&mut Export>,
+    ) -> Result<(Answer, InFlightGuard), AttemptEnd> {
         let target = self.choice.decode.clone();
-        let prefill_here = if export.is_some() { Tokens(0) } else { self.choice.prefill_tokens };
-        let mut guard = InFlightGuard::new(
-            &self.task.app,
-            &target.id,
-            prefill_here,
-            self.task.request.routing.rank,
-        );
+        let permit = self.task.acquire_permit(&target).await.map_err(AttemptEnd::Denied)?;
+        let prefilled = export.as_ref().and_then(|e| e.source());
+        let prefill_here = if prefilled.is_some() { Tokens(0) } else { self.choice.prefill_tokens };
+        let cache = prefilled.or_else(|| self.migrated.as_ref().map(MigratedRun::source));
+        let kind = if cache.is_some() { SendKind::Decode } else { SendKind::Run };
+        let gate = self.gate(&target, kind, permit);
+        let rank = self.task.request.routing.rank;
+        let guard = InFlightGuard::new(&self.task.app, &target.id, prefill_here, rank);
         let job = self.job(&target, cache);
         let engines = self.task.app.ports.engines.clone();
         self.task.log_send(&target);
         // From here on a cancelled attempt may have run.
         let ran_before = std::mem::replace(&mut self.task.maybe_ran, true);
         self.task.runs_sent += 1;
-        self.task.running_at = Some((target.clone(), self.task.app.now()));
-        if self.task.last_event.is_some() {
-            self.task.app.metrics.resumes.inc();
-        }
-        match engines.generate(target.address, job).await {
+        let running_before = self.task.running_at.replace((target.clone(), self.task.app.now()));
+        match engines.generate(&target, job, &|| gate.check()).await {
             Ok(answer) => {
                 if let Some(export) = &mut export {
                     export.mark_fetched();
                 }
-                self.forward(answer, &mut guard).await
+                if self.task.last_event.is_some() {
+                    self.task.app.metrics.resumes.inc();
+                }
+                Ok((answer, guard))
             }
             Err(error) => {
                 if error.not_run() {
@@ -104,29 +125,32 @@
                 if error.not_sent() {
                     self.task.runs_sent -= 1;
                 }
-                AttemptEnd::Failed(self.record_error(&target, &error).await)
+                if let EngineError::Denied(denial) = error {
+                    self.task.running_at = running_before;
+                    self.task.cancel_send(&target);
+                    return Err(AttemptEnd::Denied(denial));
+                }
+                Err(AttemptEnd::Failed(self.record_error(&target, &error).await))
             }
         }
     }
 
-    /// Waits until the request may be sent to the decode engine. Once the prompt was prefilled
-    /// elsewhere, the engine is chosen again, by current loads and permits.
-    async fn permit_decode(&mut self, prefilled: bool) -> Result<(), AttemptEnd> {
-        for denials in 1.. {
-            if prefilled {
-                self.choice.decode = self.task.choose_decode(&self.choice.decode);
-            }
-            let target = self.choice.decode.clone();
-            match self.task.acquire_permit(&target).await {
-                Ok(()) => return Ok(()),
-                Err(denied) if !prefilled => return Err(AttemptEnd::Denied(denied)),
-                Err(denied) if denials >= MAX_DENIALS => {
-                    return Err(AttemptEnd::Failed(denied.into_fault()));
-                }
-                Err(_) => {}
-            }
+    /// Returns the check that is made right before the first byte goes to the target.
+    fn gate(&self, target: &Target, kind: SendKind, permit: bool) -> SendGate {
+        let request = &self.task.request;
+        // Only the engine that prefills fetches cached blocks.
+        let fetches = kind != SendKind::Decode && request.proxied.is_some();
+        let source = self.choice.fetch_from.as_ref().filter(|_| fetches);
+        SendGate {
+            app: self.task.app.clone(),
+            id: request.log_id(&self.run).to_owned(),
+            kind,
+            target: target.clone(),
+            software: request.routing.software.clone(),
+            source: source.map(|s| s.id.clone()),
+            permit,
+            fingerprint: request.fingerprint,
         }
-        Ok(())
     }
 
     fn job(&self, target: &Target, cache: Option<CacheSource>) -> Job {
@@ -153,19 +177,20 @@
             rank: self.task.request.routing.rank,
             last_event: self.task.last_event.or(proxied.last_event),
             streams: proxied.route.streams,
-            fetch: self.choice.fetch_from,
+            fetch: self.choice.fetch_from.as_ref().map(|s| s.address),
         })
     }
 
     /// Prefills the prompt if a separate engine was chosen for that; returns its KV cache, kept for
     /// export.
     async fn prefill(&mut self) -> Result<Option<Export>, AttemptEnd> {
-        if self.kv_source.is_some() {
+        if self.migrated.is_some() {
             return Ok(None);
         }
         let Some(target) = self.choice.prefill.clone() else { return Ok(None) };
-        self.task.acquire_permit(&target).await.map_err(AttemptEnd::Denied)?;
+        let permit = self.task.acquire_permit(&target).await.map_err(AttemptEnd::Denied)?;
         let app = self.task.app.clone();
+        let gate = self.gate(&target, SendKind::Prefill, permit);
         self.task.prefills_sent += 1;
         let idle = app.fleet().engine(&target.id).is_none_or(|e| e.load.idle(app.now()));
         let guard = InFlightGuard::new(
@@ -177,7 +202,7 @@
         let start = app.now();
         let job = self.job(&target, None);
         self.task.running_at = Some((target.clone(), start));
-        match app.ports.engines.prefill(target.address, job).await {
+        match app.ports.engines.prefill(&target, job, &|| gate.check()).await {
             Ok(run) => {
                 drop(guard);
                 self.task.record_success(&target);
@@ -192,8 +217,13 @@
                     "run: id={id} prefilled at={} tokens={tokens} idle={idle} ms={ms}",
                     target.id
                 );
-                let source = CacheSource { address: target.address, run };
-                Ok(Some(Export::new(&app, source)))
+                Ok(Some(Export::new(&app, target, run)))
+            }
+            Err(EngineError::Denied(denial)) => {
+                self.task.prefills_sent -= 1;
+                self.task.running_at = None;
+                self.task.cancel_send(&target);
+                Err(AttemptEnd::Denied(denial))
             }
             Err(error) => {
                 self.task.maybe_ran |= !error.not_run() && self.task.request.proxied.is_none();
@@ -264,8 +294,8 @@
             }
             if let Some(choice) = self.migrate() {
                 self.task.record_success(&target);
-                let kv_source = CacheSource { address: target.address, run: self.run.clone() };
-                return AttemptEnd::Migrated(choice, kv_source);
+                let run = MigratedRun { engine: target, run: self.run.clone() };
+                return AttemptEnd::Migrated(Box::new(choice), run);
             }
         }
         if self.task.request.proxied.is_some() {
@@ -325,11 +355,12 @@
 
     /// Cancels the run from which this one was migrated, once the new engine has sent a piece.
     fn cancel_source_run(&mut self) {
-        let Some(source) = self.kv_source.take() else { return };
-        let engines = self.task.app.ports.engines.clone();
+        let Some(MigratedRun { engine, run }) = self.migrated.take() else { return };
+        let app = self.task.app.clone();
         tokio::spawn(async move {
+            let check = || app.check_control(&engine);
             // If this fails, the engine itself ends a run that nobody reads.
-            let _ = engines.cancel(source.address, &source.run).await;
+            let _ = app.ports.engines.cancel(&engine, &run, &check).await;
         });
     }
 
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -1,5 +1,6 @@
 use {
-    super::task::{EngineChoice, Target, Task},
+    super::{engine_choice::EngineChoice, task::Task},
+    crate::ports::Target,
     lentil_core::{
         admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience},
         clock::Time,
@@ -107,7 +108,7 @@
             }
         };
         let prefill_tokens = routing.prompt - pick.hit;
-        let fetch_from = pick.fetch.map(|i| fleet.engines[i].address);
+        let fetch_from = pick.fetch.map(|i| Target::from_view(&fleet.engines[i]));
         if let Some(key) = shared_prefix(&routing).filter(|_| self.request.proxied.is_some()) {
             let prefiller = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
             cache.record_location(key, &prefiller.id, PrefixProgress::Prefilling, now);
--- a/node/src/run/export.rs
+++ b/node/src/run/export.rs
@@ -1,5 +1,9 @@
 use {
-    crate::{app::App, ports::CacheSource},
+    crate::{
+        app::App,
+        ports::{CacheSource, Target},
+    },
+    lentil_core::ids::RunId,
     std::sync::Arc,
 };
 
@@ -7,33 +11,36 @@
 /// another engine has fetched it.
 pub(super) struct Export {
     app: Arc<App>,
-    source: Option<CacheSource>,
+    engine: Target,
+    run: Option<RunId>,
 }
 
 impl Export {
-    pub(super) fn new(app: &Arc<App>, source: CacheSource) -> Self {
-        Self { app: app.clone(), source: Some(source) }
+    pub(super) fn new(app: &Arc<App>, engine: Target, run: RunId) -> Self {
+        Self { app: app.clone(), engine, run: Some(run) }
     }
 
     /// Returns where the KV cache can be fetched, or `None` once it was.
     pub(super) fn source(&self) -> Option<CacheSource> {
-        self.source.clone()
+        let address = self.engine.address;
+        self.run.clone().map(|run| CacheSource { address, run })
     }
 
     /// Records that another engine has fetched the KV cache.
     pub(super) fn mark_fetched(&mut self) {
-        self.source = None;
+        self.run = None;
     }
 }
 
 impl Drop for Export {
     fn drop(&mut self) {
-        let Some(source) = self.source.take() else { return };
-        let engines = self.app.ports.engines.clone();
+        let Some(run) = self.run.take() else { return };
+        let (app, engine) = (self.app.clone(), self.engine.clone());
         tokio::spawn(async move {
-            if let Err(error) = engines.cancel(source.address, &source.run).await {
+            let check = || app.check_control(&engine);
+            if let Err(error) = app.ports.engines.cancel(&engine, &run, &check).await {
                 // The engine drops unfetched exports after a while.
-                log::debug!("run: export {} was not released: {error}", source.run);
+                log::debug!("run: export {run} was not released: {error}");
             }
         });
     }
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -1,6 +1,10 @@
 use {
-    super::task::{Target, Task},
-    crate::{app::App, mesh::report_crash, ports::EngineError},
+    super::task::Task,
+    crate::{
+        app::App,
+        mesh::report_crash,
+        ports::{EngineError, Target},
+    },
     futures_util::{
         future::{BoxFuture, Shared},
         FutureExt,
@@ -144,7 +148,13 @@
 /// alone is not a crash.
 async fn probe(app: &App, target: &Target) -> Verdict {
     for _ in 0..CRASH_PROBES {
-        match app.ports.engines.report(target.address).await {
+        let check = || app.check_control(target);
+        match app.ports.engines.report(target, &check).await {
+            // The target wants no requests, so only its port is looked at.
+            Err(EngineError::Denied(_)) => {
+                let alive = app.ports.engines.listens(target).await;
+                return if alive { Verdict::Alive } else { Verdict::Crashed };
+            }
             Ok(report) if target.may_be(report.boot) => return Verdict::Alive,
             Ok(_) | Err(EngineError::NotSent(_)) => return Verdict::Crashed,
             // The port of a dying process may stay open for a while.
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -1,5 +1,6 @@
 use {
-    super::task::{EngineChoice, Target, Task},
+    super::{engine_choice::EngineChoice, task::Task},
+    crate::ports::Target,
     lentil_core::{
         clock::Time,
         error::{ErrorKind, Fault},
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -2,7 +2,9 @@
 //! piece of the answer exactly once.
 
 mod attempt;
+mod attempts;
 mod choose;
+mod engine_choice;
 mod export;
 mod failure;
 mod in_flight;
@@ -12,7 +14,8 @@
 mod proxied;
 mod request;
 mod resume;
+mod send;
 mod stream_origin;
 mod task;
 
-pub use {failure::Investigations, piece::*, request::*, resume::resume, task::start};
+pub use {attempts::start, failure::Investigations, piece::*, request::*, resume::resume};
--- a/node/src/run/permit.rs
+++ b/node/src/run/permit.rs
@@ -1,9 +1,9 @@
 use {
-    super::task::{Target, Task},
-    crate::mesh::request_permit,
+    super::task::Task,
+    crate::{mesh::request_permit, ports::Target},
     lentil_core::{
         clock::Time,
-        error::{ErrorKind, Fault},
+        gate::{Denial, DenialReason},
         ids::RequestRate,
         limit::Permit,
         mesh::PermitRequest,
@@ -14,38 +14,20 @@
 
 /// Time by which the wait for a permit may be longer than was expected as the target was chosen.
 const WAIT_MARGIN: Duration = Duration::from_millis(20);
-/// Times that a request may be denied a permit before it is refused. Each denial tells this instance
-/// how long the target has none, so the next choice is another one.
-pub(super) const MAX_DENIALS: u32 = 12;
-
-/// A target has no permit for a request in time; nothing was sent.
-pub(super) struct PermitDenied {
-    /// Time until the target may have one.
-    pub(super) next: Duration,
-}
-
-impl PermitDenied {
-    /// Returns the fault for a request that is refused for lack of permits.
-    pub(super) fn into_fault(self) -> Fault {
-        let text = "the targets' rate limits are used up";
-        Fault::new(ErrorKind::NoCapacity, text).with_retry(self.next)
-    }
-}
-
 impl Task {
-    /// Waits until one request may be sent to the target. Called right before each send, since a
-    /// limit may have been announced after the target was chosen.
+    /// Waits until one request may be sent to the target; returns whether that needed a permit.
+    /// Called before each send, since a limit may have been announced after the target was chosen.
     ///
     /// # Errors
-    /// [`PermitDenied`] if that takes longer than was expected as the target was chosen.
-    pub(super) async fn acquire_permit(&self, target: &Target) -> Result<(), PermitDenied> {
+    /// [`Denial::NotBefore`] if that takes longer than was expected as the target was chosen.
+    pub(super) async fn acquire_permit(&self, target: &Target) -> Result<bool, Denial> {
         let now = self.app.now();
         let limited = self.app.fleet().engine(&target.id).and_then(|engine| {
             let wait = engine.limit.wait(now);
             let age = engine.limit.age(now);
             Some((engine.limit.rate()?, age, wait, engine.region.clone()))
         });
-        let Some((rate, age, expected, region)) = limited else { return Ok(()) };
+        let Some((rate, age, expected, region)) = limited else { return Ok(false) };
         let longest = self.request.routing.class.first.duration();
         let wait = longest.min(expected + WAIT_MARGIN);
         let request = PermitRequest { engine: target.id.clone(), boot: target.boot, rate, wait };
@@ -66,11 +48,11 @@
         match result {
             Ok(wait) => {
                 sleep(wait).await;
-                Ok(())
+                Ok(true)
             }
             Err(next) => {
                 self.record_denial(target, (rate, age), end, next);
-                Err(PermitDenied { next })
+                Err(Denial::NotBefore(now + next, DenialReason::RateLimit))
             }
         }
     }
--- a/node/src/run/piece.rs
+++ b/node/src/run/piece.rs
@@ -10,7 +10,7 @@
 };
 
 /// Pieces buffered for a slow caller before the run waits for it.
-pub(super) const MAX_QUEUED_PIECES: usize = 64;
+pub(super) const MAX_QUEUED_PIECES: usize = 16;
 
 /// One piece of an answer on its way to the caller.
 #[derive(Debug, Clone)]
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -1,5 +1,6 @@
 use {
-    super::task::{Target, Task},
+    super::task::Task,
+    crate::ports::Target,
     lentil_core::{fleet::PrefixProgress, ids::RunId, route::shared_prefix},
 };
 
--- a/node/src/run/stream_origin.rs
+++ b/node/src/run/stream_origin.rs
@@ -1,9 +1,9 @@
 use {
-    super::{
-        request::Proxied,
-        task::{Target, Task},
+    super::{request::Proxied, task::Task},
+    crate::{
+        mesh::{announce_stream, search_origin},
+        ports::Target,
     },
-    crate::mesh::{announce_stream, search_origin},
     lentil_core::{
         error::{ErrorKind, Fault, Outcome},
         ids::ModelId,
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -1,46 +1,26 @@
 use {
-    super::{
-        attempt::{Attempt, AttemptEnd},
-        permit::MAX_DENIALS,
-        piece::MAX_QUEUED_PIECES,
-        Piece, Pieces, RunRequest,
-    },
-    crate::{app::App, ports::CacheSource},
+    super::{Piece, RunRequest},
+    crate::{app::App, ports::Target},
     lentil_core::{
         clock::Time,
         error::{ErrorKind, Fault, Outcome},
-        fleet::EngineView,
-        ids::{EngineId, Incarnation, SoftwareVersion, Tokens},
+        ids::{EngineId, Tokens},
         poison::RunPermission,
     },
     std::{sync::Arc, time::Duration},
-    tokio::{
-        sync::mpsc,
-        time::{sleep, timeout},
-    },
+    tokio::{sync::mpsc, time::sleep},
 };
 
-/// Delay before engines are chosen again when none was available.
-const NO_TARGET_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Time within which a crash report reaches all instances.
 const CRASH_REPORT_DELAY: Duration = Duration::from_secs(1);
 /// Largest ratio assumed between the speed of an idle engine and the speed that the class
 /// requires.
 const MAX_IDLE_SPEEDUP: u32 = 4;
-/// Maximum attempts for one request; migrations don't count.
-const MAX_ATTEMPTS: u32 = 6;
 /// Fewest prefilled tokens from which an engine's prefill rate is measured.
 pub(super) const MIN_RATE_TOKENS: Tokens = Tokens(1_000);
 /// Time before the deadline in which no further target is tried.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
-/// Starts a task that runs the request, and returns the pieces of its answer as they arrive.
-pub fn start(app: Arc<App>, request: RunRequest) -> Pieces {
-    let (sender, receiver) = mpsc::channel(MAX_QUEUED_PIECES);
-    tokio::spawn(Task::new(app, request, sender).run());
-    Pieces::new(receiver)
-}
-
 /// Runs one request, on one engine after another until one has answered it.
 pub(super) struct Task {
     pub(super) app: Arc<App>,
@@ -74,46 +54,12 @@
     pub(super) last_event: Option<u64>,
 }
 
-/// Engines chosen for an attempt.
-#[derive(Debug, Clone)]
-pub(super) struct EngineChoice {
-    pub(super) decode: Target,
-    pub(super) prefill: Option<Target>,
-    /// Prompt tokens left to prefill after the prefix cache hit.
-    pub(super) prefill_tokens: Tokens,
-    /// Engine from which the prefilling one fetches the KV cache of the prompt's shared prefix.
-    pub(super) fetch_from: Option<std::net::SocketAddr>,
-}
-
-/// An engine chosen as the target of a request, with the incarnation that was known then.
-#[derive(Debug, Clone)]
-pub(super) struct Target {
-    pub(super) id: EngineId,
-    pub(super) address: std::net::SocketAddr,
-    pub(super) boot: Incarnation,
-    pub(super) software: Option<SoftwareVersion>,
-}
-
-impl Target {
-    pub(super) fn from_view(engine: &EngineView) -> Self {
-        let (id, software) = (engine.id.clone(), engine.software.clone());
-        Self { id, address: engine.address, boot: engine.boot, software }
-    }
-
-    /// Returns the version of the target's software for logs; empty if it is not known.
-    pub(super) fn software_text(&self) -> &str {
-        self.software.as_ref().map_or("", SoftwareVersion::as_str)
-    }
-
-    /// Returns whether a report with this incarnation may come from the target's process; zero
-    /// stands for an incarnation that is not known.
-    pub(super) fn may_be(&self, boot: Incarnation) -> bool {
-        boot == self.boot || boot.0 == 0 || self.boot.0 == 0
-    }
-}
-
 impl Task {
-    fn new(app: Arc<App>, request: RunRequest, sender: mpsc::Sender<Result<Piece, Fault>>) -> Self {
+    pub(super) fn new(
+        app: Arc<App>,
+        request: RunRequest,
+        sender: mpsc::Sender<Result<Piece, Fault>>,
+    ) -> Self {
         Self {
             app,
             request,
@@ -134,73 +80,31 @@
         }
     }
 
-    async fn run(mut self) {
-        let Ok(_permit) = self.app.run_permits.clone().try_acquire_owned() else {
-            let fault = Fault::new(ErrorKind::NoCapacity, "too many requests are in progress");
-            return self.fail(fault).await;
-        };
-        self.count_request();
-        if let Err(fault) = self.bind_resumed_stream().await {
-            return self.fail(fault).await;
-        }
-        let (mut attempts, mut denials) = (0, 0);
-        let mut migration = None;
-        loop {
-            let (choice, kv_source) = match migration.take() {
-                Some((choice, kv_source)) => (choice, Some(kv_source)),
-                None => match self.check_version_left().and_then(|()| self.choose(attempts)) {
-                    Ok(choice) => (choice, None),
-                    Err(fault) if self.may_wait(&fault, attempts) => {
-                        sleep(NO_TARGET_RETRY_DELAY).await;
-                        continue;
-                    }
-                    Err(fault) => return self.fail(fault).await,
-                },
-            };
-            let migrates = kv_source.is_some();
-            attempts += u32::from(!migrates);
-            let ended = self.attempt(choice, kv_source).await;
-            self.release_isolated();
-            match ended {
-                AttemptEnd::Completed => return self.finish(),
-                AttemptEnd::CallerGone => return self.caller_left(),
-                AttemptEnd::Migrated(choice, kv_source) => migration = Some((choice, kv_source)),
-                AttemptEnd::Denied(denied) => {
-                    attempts -= u32::from(!migrates);
-                    denials += 1;
-                    if denials >= MAX_DENIALS {
-                        return self.fail(denied.into_fault()).await;
-                    }
-                }
-                AttemptEnd::Failed(fault) => {
-                    let quarantined = fault.kind == ErrorKind::Quarantined;
-                    if quarantined || attempts >= MAX_ATTEMPTS || !self.may_retry(&fault) {
-                        return self.fail(fault).await;
-                    }
-                    self.app.metrics.retries.inc();
-                    self.await_crash_reports().await;
-                }
-            }
-        }
-    }
-
     /// Returns whether a request that found no engine waits for one.
     ///
-    /// A retried request, or a suspect that needs an engine without other suspects, waits while it
-    /// could still end by its deadline. A new request is refused at once.
-    fn may_wait(&self, fault: &Fault, attempts: u32) -> bool {
+    /// A retried request that a target has not failed yet, or a suspect that needs an engine without
+    /// other suspects, waits while it could still end by its deadline. Others are refused at once.
+    pub(super) fn may_wait(&self, fault: &Fault, attempts: u32) -> bool {
         let (now, routing) = (self.app.now(), &self.request.routing);
         let remaining = routing.output - Tokens(self.sent_tokens.len() as u64);
         let needed = (routing.class.between.duration() / MAX_IDLE_SPEEDUP)
             .saturating_mul(remaining.0 as u32);
         let deadline = self.request.arrived + routing.class.deadline.duration();
         let permission = self.app.quarantine().permission(self.request.fingerprint, now);
-        let waits = attempts > 0 || permission == RunPermission::Isolate;
+        let isolates = permission == RunPermission::Isolate;
+        let waits = isolates || attempts > 0 && self.has_untried_target();
         fault.kind == ErrorKind::NoTarget && waits && now + needed < deadline
     }
 
+    /// Returns whether some target, whatever its present state, has not failed this request yet.
+    fn has_untried_target(&self) -> bool {
+        let routing = &self.request.routing;
+        let fleet = self.app.fleet();
+        fleet.engines.iter().any(|e| e.model == routing.model && !routing.excluded.contains(&e.id))
+    }
+
     /// Delays a crash suspect until the instances know of each other's crash reports.
-    async fn await_crash_reports(&self) {
+    pub(super) async fn await_crash_reports(&self) {
         let permission = self.app.quarantine().permission(self.request.fingerprint, self.app.now());
         if permission == RunPermission::Isolate {
             sleep(CRASH_REPORT_DELAY).await;
@@ -208,7 +112,7 @@
     }
 
     /// Counts the request toward the retry or resend budget.
-    fn count_request(&self) {
+    pub(super) fn count_request(&self) {
         let now = self.app.now();
         match self.request.proxied {
             None => self.app.admission().retries.record_request(),
@@ -216,36 +120,6 @@
         }
     }
 
-    /// Makes one attempt. For a proxied request it ends at the deadline or when the caller
-    /// disconnects.
-    async fn attempt(
-        &mut self,
-        choice: EngineChoice,
-        kv_source: Option<CacheSource>,
-    ) -> AttemptEnd {
-        let Some(deadline) = self.request.proxied.as_ref().map(|r| r.deadline) else {
-            return Attempt::new(self, choice, kv_source).run().await;
-        };
-        let remaining = deadline - self.app.now();
-        let sender = self.sender.clone();
-        let ended = tokio::select! {
-            biased;
-            () = sender.closed() => None,
-            ended = timeout(remaining, Attempt::new(self, choice, kv_source).run()) => Some(ended),
-        };
-        if !matches!(ended, Some(Ok(_))) {
-            self.investigate_abandoned();
-        }
-        match ended {
-            None => AttemptEnd::CallerGone,
-            Some(Ok(ended)) => ended,
-            Some(Err(_)) => {
-                let text = "no target answered in time";
-                AttemptEnd::Failed(Fault::new(ErrorKind::TargetTimeout, text))
-            }
-        }
-    }
-
     /// Returns whether a request that may have run can run again on another target.
     pub(super) fn may_repeat(&self) -> bool {
         let Some(proxied) = &self.request.proxied else { return true };
@@ -254,7 +128,7 @@
     }
 
     /// Returns whether a failed request may be retried, and takes the retry from its budget.
-    fn may_retry(&self, fault: &Fault) -> bool {
+    pub(super) fn may_retry(&self, fault: &Fault) -> bool {
         let now = self.app.now();
         let Some(proxied) = &self.request.proxied else {
             return self.app.admission().retries.take();
@@ -275,7 +149,7 @@
     }
 
     /// Records a request whose answer was forwarded completely.
-    fn finish(self) {
+    pub(super) fn finish(self) {
         if self.request.proxied.is_some() {
             return self.finish_proxied();
         }
@@ -300,7 +174,7 @@
     }
 
     /// Logs and counts a request whose caller disconnected before the end of the answer.
-    fn caller_left(self) {
+    pub(super) fn caller_left(self) {
         self.log_early_end("left", "the caller has disconnected");
         let request = &self.request;
         let service = request.routing.model.as_str();
@@ -312,7 +186,7 @@
     }
 
     /// Ends the request with a fault, which is sent to the caller.
-    async fn fail(mut self, mut fault: Fault) {
+    pub(super) async fn fail(mut self, mut fault: Fault) {
         self.release_isolated();
         if self.maybe_ran && fault.outcome == Outcome::NotRun {
             fault.outcome = Outcome::Unknown;
