Views hold their availability zone; one watcher of the targets a zone; fewer store calls

Cause: in views that are samples of 64 of 295 instances, about five instances watch the targets and a third of all is in no watcher's view and reads them itself. While the store is away each instance asks for the targets twice a second.

Change: full views hold up to 52 instances of the own zone and a sample of others; one instance a zone watches for its zone, which it reaches. Those relayed to back off to 2 s; two reads of the list at the start instead of four; watches of the routes wait for 20 s.

Test: rank_in_zone_gives_one_watcher.

--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -12,6 +12,8 @@
 
 /// Most instances of the own region in a view.
 pub const MAX_REGION_MEMBERS: usize = 64;
+/// Instances of the own availability zone that a full view keeps before those of others.
+pub const MAX_ZONE_MEMBERS: usize = 52;
 /// Most instances of other regions in a view.
 pub const MAX_REMOTE_MEMBERS: usize = 12;
 /// Number of heartbeat periods between two heartbeats to members in state dead.
@@ -53,9 +55,10 @@
 
 /// Bounded membership view of the other instances, with the updates to gossip to them.
 ///
-/// A full view keeps the instances whose names, hashed together with the own name, give the
-/// smallest values. The views of different instances are thus pseudo-random samples of the fleet,
-/// and the cost per instance does not grow with the size of the fleet.
+/// A full view keeps up to [`MAX_ZONE_MEMBERS`] instances of the own availability zone and others,
+/// in both cases those whose names, hashed together with the own name, give the smallest values. The
+/// instances of a zone thus know each other, and what they know of other zones are pseudo-random
+/// samples. The cost per instance does not grow with the size of the fleet.
 #[derive(Debug, Clone)]
 pub struct MemberView {
     me: MemberInfo,
@@ -102,6 +105,19 @@
         self.members.values().filter(|m| m.state <= MemberState::Suspect)
     }
 
+    /// Returns whether the view has as many instances of the own region as it holds, so that there may
+    /// be others.
+    pub fn is_full(&self) -> bool {
+        let here = self.live().filter(|m| m.info.region == self.me.region);
+        here.count() >= MAX_REGION_MEMBERS
+    }
+
+    /// Returns whether the view has less than half of the instances.
+    pub fn is_small_part(&self, now: Time) -> bool {
+        let known = self.live().count() + 1;
+        self.is_full() && self.fleet_size(now).is_some_and(|size| 2 * known < size as usize)
+    }
+
     /// Returns the member with this name, if the view has it.
     pub fn member(&self, id: &InstanceId) -> Option<&Member> {
         self.members.get(id)
@@ -162,9 +178,8 @@
         }
     }
 
-    /// Returns true if the view has room for `info`. In a full view this removes the live member
-    /// with the greatest distance, or a member that is not live if there is no live one, provided
-    /// that `info` has a smaller distance.
+    /// Returns true if the view has room for `info`, after the removal of another member if it is
+    /// full.
     fn make_room(&mut self, info: &MemberInfo) -> bool {
         let own_region = info.region == self.me.region;
         let limit = if own_region { MAX_REGION_MEMBERS } else { MAX_REMOTE_MEMBERS };
@@ -172,11 +187,19 @@
         if self.members.values().filter(same).count() < limit {
             return true;
         }
-        let far = |m: &&Member| (m.state <= MemberState::Suspect, self.distance(&m.info.id));
-        let Some(farthest) = self.members.values().filter(same).max_by_key(far) else {
-            return true;
+        let near = self.members.values().filter(|m| self.is_near(&m.info)).count();
+        let is_near = self.is_near(info);
+        // A zone has at least its part of the view, and no more than that if others need room.
+        let takes_over = match is_near {
+            true => near < MAX_ZONE_MEMBERS,
+            false => own_region && near > MAX_ZONE_MEMBERS,
         };
-        if self.distance(&farthest.info.id) <= self.distance(&info.id) {
+        let from_near = is_near != takes_over;
+        let competitors = self.members.values().filter(same);
+        let competitors = competitors.filter(|m| self.is_near(&m.info) == from_near);
+        let far = |m: &&Member| (m.state <= MemberState::Suspect, self.distance(&m.info.id));
+        let Some(farthest) = competitors.max_by_key(far) else { return true };
+        if !takes_over && self.distance(&farthest.info.id) <= self.distance(&info.id) {
             return false;
         }
         let id = farthest.info.id.clone();
@@ -184,6 +207,11 @@
         true
     }
 
+    /// Returns whether an instance is in the own availability zone.
+    fn is_near(&self, info: &MemberInfo) -> bool {
+        info.region == self.me.region && info.zone == self.me.zone
+    }
+
     /// Returns the hash of a name with the own name; smaller values are kept in the view.
     fn distance(&self, id: &InstanceId) -> Fingerprint {
         hash_with(self.me.id.as_str(), id)
@@ -339,6 +367,13 @@
         (visible > quorum).then(|| (visible as f64 / size as f64).min(1.0))
     }
 
+    /// Returns the rank of this instance for a duty among the alive instances of its availability
+    /// zone, like [`rank_for`](Self::rank_for).
+    pub fn rank_in_zone(&self, duty: &str) -> usize {
+        let here = |m: &Member| m.state == MemberState::Alive && self.is_near(&m.info);
+        self.rank_if(duty, &self.me.region, here)
+    }
+
     fn rank_if(&self, duty: &str, region: &Region, counts: impl Fn(&Member) -> bool) -> usize {
         let own = hash_with(duty, &self.me.id);
         self.live()
--- a/core/src/mesh/tests.rs
+++ b/core/src/mesh/tests.rs
@@ -276,3 +276,58 @@
     (0..40).for_each(|i| view.apply(&info(&format!("m{i}")), MemberState::Alive, at(6_000)));
     assert_eq!(view.held_share(at(6_000)), Some(46.0 / 600.0));
 }
+
+/// Views of the instances of the first of `zones` availability zones, which have heard of all others.
+fn views_of_zone(instances: usize, zones: usize) -> Vec<MemberView> {
+    let all: Vec<MemberInfo> = (0..instances)
+        .map(|i| MemberInfo {
+            zone: format!("z{}", i % zones).parse().unwrap(),
+            ..info(&format!("n{i}"))
+        })
+        .collect();
+    let view = |i: usize| {
+        let mut view = MemberView::new(all[i].clone(), TIMING);
+        // In another order for each, as they become known.
+        (1..instances).for_each(|step| {
+            view.record_heartbeat(&all[(i + step * 7) % instances], at(0));
+        });
+        view
+    };
+    (0..instances).step_by(zones).map(view).collect()
+}
+
+#[test]
+fn rank_in_zone_gives_one_watcher_that_knows_its_whole_zone() {
+    let mut views = views_of_zone(295, 6);
+    for killed in [0, 3] {
+        // Those that are known to be dead no longer count.
+        for _ in 0..killed {
+            let watchers: Vec<MemberInfo> = views
+                .iter()
+                .filter(|v| v.rank_in_zone("targets") == 0)
+                .map(|v| v.me().clone())
+                .collect();
+            views.retain(|v| !watchers.iter().any(|w| w.id == v.me().id));
+            views.iter_mut().for_each(|view| {
+                watchers.iter().for_each(|dead| view.apply(dead, MemberState::Dead, at(0)));
+            });
+        }
+        let watchers: Vec<&MemberView> =
+            views.iter().filter(|v| v.rank_in_zone("targets") == 0).collect();
+        assert_eq!(watchers.len(), 1, "{killed} times without its watcher");
+        for view in &views {
+            let id = &view.me().id;
+            let reached = watchers[0].me().id == *id || watchers[0].member(id).is_some();
+            assert!(reached, "{id} gets no changes");
+        }
+    }
+}
+
+#[test]
+fn full_view_keeps_room_for_other_zones() {
+    for view in views_of_zone(120, 2) {
+        let near = view.members().filter(|m| m.info.zone == view.me().zone).count();
+        assert_eq!(near, MAX_ZONE_MEMBERS, "{}", view.me().id);
+        assert_eq!(view.members().count(), MAX_REGION_MEMBERS);
+    }
+}
--- a/node/src/follow/list.rs
+++ b/node/src/follow/list.rs
@@ -15,9 +15,11 @@
 
 /// Interval between two reads of the list; a leaving target must be known within 3 s.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of reads at [`POLL_INTERVAL`] after the start, in which hosted instances find each
-/// other.
-const STARTUP_READS: u32 = 4;
+/// Number of reads at [`HOSTED_STARTUP_INTERVAL`] after the start, in which hosted instances find
+/// each other.
+const STARTUP_READS: u32 = 2;
+/// Interval between these reads. Instances that start together are all listed by then.
+const HOSTED_STARTUP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between later reads if this instance is hosted: the list then names instances only,
 /// and new instances contact the others themselves.
 const HOSTED_POLL_INTERVAL: Duration = Duration::from_secs(6);
@@ -48,9 +50,12 @@
                 }
             }
         }
-        let hosted = app.settings.hosted.is_some();
-        sleep(if hosted && reads >= STARTUP_READS { HOSTED_POLL_INTERVAL } else { POLL_INTERVAL })
-            .await;
+        let interval = match app.settings.hosted {
+            None => POLL_INTERVAL,
+            Some(_) if reads < STARTUP_READS => HOSTED_STARTUP_INTERVAL,
+            Some(_) => HOSTED_POLL_INTERVAL,
+        };
+        sleep(interval).await;
     }
 }
 
--- a/node/src/follow/relay/mod.rs
+++ b/node/src/follow/relay/mod.rs
@@ -18,15 +18,29 @@
 /// if two messages are lost, a leaving target is known within its bound.
 pub(super) const RELAY_VALIDITY: Duration = Duration::from_millis(1_000);
 
-/// Returns whether this instance watches the directory for its region.
+/// Returns whether one instance watches the directory for others here.
+pub(super) fn is_crowded(app: &App) -> bool {
+    let Some(hosted) = &app.settings.hosted else { return false };
+    let region = &app.settings.region;
+    let others = app.member_view().live().filter(|m| m.info.region == *region).count();
+    others + 1 >= hosted.crowd
+}
+
+/// Returns whether this instance watches the directory for its region, or for its availability zone
+/// if the view can't hold the region: views hold the whole zone, so that its instances agree, and the
+/// watcher reaches all of them.
 ///
 /// Instances whose member views differ may both do so; that only costs additional reads.
 pub(super) fn is_region_watcher(app: &App) -> bool {
-    let Some(hosted) = &app.settings.hosted else { return false };
-    let region = &app.settings.region;
+    if !is_crowded(app) {
+        return false;
+    }
     let view = app.member_view();
-    let others = view.live().filter(|m| m.info.region == *region).count();
-    others + 1 >= hosted.crowd && view.rank_for("targets", region) == 0
+    let rank = match view.is_full() {
+        true => view.rank_in_zone("targets"),
+        false => view.rank_for("targets", &app.settings.region),
+    };
+    rank == 0
 }
 
 /// The latest changes that this instance read, to be sent to the others of its region.
--- a/node/src/follow/routes.rs
+++ b/node/src/follow/routes.rs
@@ -6,7 +6,7 @@
 };
 
 /// Longest wait of one watch; a dead connection is noticed after this time.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// Delay between reads while there are no routes, and after the first failed read.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 /// Longest delay after failed reads.
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -33,6 +33,9 @@
 /// Longest delay after failed reads: a change that an outage hid must be known within the bound
 /// after it.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// The same for an instance that gets the changes from another one: after the outage they are relayed
+/// to it, or it reads within the time in which it may still act on what it knew.
+const MAX_RELAYED_BACKOFF: Duration = Duration::from_millis(2_000);
 /// Time after an outage within which targets whose entries expired register again.
 const REREGISTER_TIME: Duration = Duration::from_millis(2_100);
 /// Interval between two reads of all targets, in case a change was never reported.
@@ -46,6 +49,7 @@
 pub async fn follow_targets(app: Arc<App>, directory: Arc<dyn Directory>) {
     let mut follower = Follower::default();
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
+    let mut relayed_backoff = Backoff::new(MIN_BACKOFF, MAX_RELAYED_BACKOFF);
     let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.duration());
     let mut relayed = app.relayed_targets.subscribe();
     loop {
@@ -61,6 +65,7 @@
         match follower.read(&app, directory.as_ref(), wait).await {
             Ok(()) => {
                 backoff.record_success();
+                relayed_backoff.record_success();
                 let delay = follower.cap_wait(delay, app.now());
                 if watcher {
                     follower.relay.send(&app).await;
@@ -71,6 +76,8 @@
             }
             Err(error) => {
                 follower.record_failure(&app, &error);
+                let relayed = relay::is_crowded(&app) && !watcher;
+                let backoff = if relayed { &mut relayed_backoff } else { &mut backoff };
                 sleep(backoff.record_failure(rand::random())).await;
             }
         }
--- a/node/src/mesh/in_flight.rs
+++ b/node/src/mesh/in_flight.rs
@@ -15,6 +15,9 @@
 /// Number of notes that fit one datagram.
 const NOTES_PER_DATAGRAM: usize = 32;
 
+/// Number of other instances in the own availability zone up to which each round reports to all of
+/// them.
+const NEAR_PEERS_PER_ROUND: usize = 32;
 /// Number of other instances up to which each round reports to all of them. With more, those in
 /// other availability zones get reports in fewer rounds: they seldom send to the same targets.
 const PEERS_PER_ROUND: usize = 16;
@@ -23,13 +26,19 @@
 /// hold shared prefixes.
 pub async fn report_in_flight(app: Arc<App>) {
     let mut reported: [BTreeMap<EngineId, InFlight>; 2] = Default::default();
+    let mut near_prefixes: Vec<PrefixNote> = Vec::new();
     let mut far_prefixes: Vec<PrefixNote> = Vec::new();
     for round in 0_u64.. {
         sleep(REPORT_INTERVAL).await;
         let prefixes = std::mem::take(&mut app.cache_index().pending_notes);
         far_prefixes.extend(prefixes.iter().cloned());
+        near_prefixes.extend(prefixes);
         let (near_peers, far_peers) = peers(&app);
-        send_notes(&app, &near_peers, &notes(&app, &mut reported[0]), &prefixes).await;
+        let near_rounds = 1 + near_peers.len() / NEAR_PEERS_PER_ROUND;
+        if round.is_multiple_of(near_rounds as u64) {
+            send_notes(&app, &near_peers, &notes(&app, &mut reported[0]), &near_prefixes).await;
+            near_prefixes.clear();
+        }
         let rounds = 1 + (near_peers.len() + far_peers.len()) / PEERS_PER_ROUND;
         if round.is_multiple_of(rounds as u64) {
             send_notes(&app, &far_peers, &notes(&app, &mut reported[1]), &far_prefixes).await;
