Instances agree on the engine of a long shared prefix by hashing

Change: rendezvous hashing names the prefilling engine that should have a prefix; it is assumed there, and rates are not learned from assumed hits. An attempt that ends by its deadline without a part of an answer counts in the target's breaker; that depended on which of two timers fired first.

--- a/core/src/admit/tests.rs
+++ b/core/src/admit/tests.rs
@@ -16,6 +16,7 @@
 fn pick(first: u64, end: u64) -> Pick {
     let millis = Duration::from_millis;
     Pick {
+        assumed: false,
         decode: 0,
         prefill: None,
         first_token: millis(first),
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        cost, Cost, Pick, PrefixCopies, RoutingOrigin, RoutingRequest, KV_TRANSFER_BASE_S,
-        KV_TRANSFER_S_PER_TOKEN,
+        cost, prefix_home, Cost, Pick, PrefixCopies, RoutingOrigin, RoutingRequest,
+        KV_TRANSFER_BASE_S, KV_TRANSFER_S_PER_TOKEN,
     },
     crate::{
         clock::Time,
@@ -69,9 +69,11 @@
     let mut prefill: Option<Candidate> = None;
     let mut decode: Option<Candidate> = None;
     let mut both: Option<Candidate> = None;
-    let copies = PrefixCopies::find(engines, &cache.locations, request, now);
+    let eligible = |e: &EngineView| is_eligible(e, request, now) && allows(e);
+    let home = origin.partial.then(|| prefix_home(engines, request, eligible)).flatten();
+    let copies = PrefixCopies::find(engines, &cache.locations, request, now).with_assumed(home);
     for (index, engine) in engines.iter().enumerate() {
-        if !is_eligible(engine, request, now) || !allows(engine) {
+        if !eligible(engine) {
             continue;
         }
         let cost = cost(engine, index, cache, request, origin, &copies, now);
@@ -172,6 +174,7 @@
         queue_wait: Duration::from_secs_f64(wait),
         end: Duration::from_secs_f64(end),
         hit: prefill_cost.hit,
+        assumed: prefill_cost.assumed,
         fetch: prefill_cost.fetch,
     }
 }
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -54,6 +54,8 @@
     pub uncertainty: f64,
     /// Prompt tokens that need no prefill here, because they are cached or can be fetched.
     pub hit: Tokens,
+    /// Whether that is only assumed of this engine.
+    pub assumed: bool,
     /// Running streams that a prefill on this engine would delay; 0 if they are not tracked.
     pub streams: u32,
     /// Index of the engine to fetch the cached tokens from, if they are on another one.
@@ -107,6 +109,7 @@
         utilization: f64::from(load.running + load.waiting) / f64::from(engine.rates.slots),
         uncertainty: random_uncertainty(engine, origin, index, now),
         hit,
+        assumed: copies.is_assumed(index),
         fetch,
         streams: engine.load.in_flight.as_ref().map_or(0, |_| load.running),
     }
--- a/core/src/route/mod.rs
+++ b/core/src/route/mod.rs
@@ -5,9 +5,10 @@
 mod origin;
 mod pick;
 mod prefix_copies;
+mod prefix_home;
 mod request;
 
-pub use {choose::*, cost::*, origin::*, pick::*, prefix_copies::*, request::*};
+pub use {choose::*, cost::*, origin::*, pick::*, prefix_copies::*, prefix_home::*, request::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/route/origin.rs
+++ b/core/src/route/origin.rs
@@ -9,6 +9,8 @@
     pub zone: Zone,
     /// Number of instances that send to the same engines, this one included.
     pub instances: u32,
+    /// Whether the instance hears of the prefixes of less than half of the others.
+    pub partial: bool,
     /// Random for each request, so that instances with the same view choose different engines.
     pub salt: u64,
 }
--- a/core/src/route/pick.rs
+++ b/core/src/route/pick.rs
@@ -15,6 +15,8 @@
     pub end: Duration,
     /// Prompt tokens that need no prefill, because they are cached or can be fetched.
     pub hit: Tokens,
+    /// Whether the prefilling engine is only assumed to have those tokens.
+    pub assumed: bool,
     /// The engine to fetch those tokens from, if the prefilling one does not have them.
     pub fetch: Option<usize>,
 }
--- a/core/src/route/prefix_copies.rs
+++ b/core/src/route/prefix_copies.rs
@@ -31,6 +31,8 @@
 pub struct PrefixCopies {
     ready: SmallVec<[usize; 4]>,
     prefilling: SmallVec<[usize; 4]>,
+    /// Engine that should have a copy, though none is known there.
+    assumed: Option<usize>,
     tokens: Tokens,
 }
 
@@ -56,11 +58,24 @@
         copies
     }
 
+    /// Assumes a copy on the engine at `index`, if none is known there.
+    #[must_use]
+    pub fn with_assumed(mut self, index: Option<usize>) -> Self {
+        self.assumed = index.filter(|i| !self.ready.contains(i) && !self.prefilling.contains(i));
+        self
+    }
+
+    /// Returns whether the copy on the engine at `index` is only assumed.
+    pub fn is_assumed(&self, index: usize) -> bool {
+        self.assumed == Some(index)
+    }
+
     /// Returns the shared tokens that the engine at `index` need not prefill, and the index of the
     /// engine to fetch them from if it has no copy itself.
     pub fn reuse_at(&self, index: usize) -> (Tokens, Option<usize>) {
         // A request queued behind the one that prefills the prefix finds it in the KV cache.
-        if self.ready.contains(&index) || self.prefilling.contains(&index) {
+        if self.ready.contains(&index) || self.prefilling.contains(&index) || self.is_assumed(index)
+        {
             return (self.tokens, None);
         }
         match self.ready.first() {
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -54,6 +54,7 @@
 
 fn origin() -> RoutingOrigin {
     RoutingOrigin {
+        partial: false,
         region: "nl".parse().unwrap(),
         zone: "a".parse().unwrap(),
         instances: 1,
--- a/core/tests/load/mod.rs
+++ b/core/tests/load/mod.rs
@@ -69,6 +69,7 @@
 /// The routing origin of request `number` at the only instance.
 pub fn origin(number: u64) -> RoutingOrigin {
     RoutingOrigin {
+        partial: false,
         region: "r".parse().unwrap(),
         zone: "z".parse().unwrap(),
         instances: 1,
--- a/fakes/examples/slopes.rs
+++ b/fakes/examples/slopes.rs
@@ -118,6 +118,7 @@
         let mut cache = CacheIndex::default();
         engines.iter().for_each(|e| cache.record_send(&e.id, &work.blocks));
         let origin = RoutingOrigin {
+            partial: false,
             region: "nl".parse().expect("the name is valid"),
             zone: "a".parse().expect("the name is valid"),
             instances: 6,
--- a/fakes/src/simulation/simulator.rs
+++ b/fakes/src/simulation/simulator.rs
@@ -362,6 +362,7 @@
         let now = self.time();
         let work = self.work(request);
         let origin = RoutingOrigin {
+            partial: false,
             region: "nl".parse().expect("the name is valid"),
             zone: "a".parse().expect("the name is valid"),
             instances: INSTANCES as u32,
--- a/node/src/app/send_gate.rs
+++ b/node/src/app/send_gate.rs
@@ -84,11 +84,7 @@
     pub fn record_denial(&self, kind: SendKind, id: &str, target: &Target, denial: Denial) {
         let reason = denial.reason().label();
         self.metrics.denied_sends.with_label_values(&[kind.label(), reason]).inc();
-        log::info!(
-            "send: id={id} kind={} at={} denied={reason} next_ms={}",
-            kind.label(),
-            target.id,
-            denial.wait(self.now()).as_millis()
-        );
+        let (kind, at, next) = (kind.label(), &target.id, denial.wait(self.now()).as_millis());
+        log::info!("run: id={id} denied={reason} at={at} kind={kind} next_ms={next}");
     }
 }
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -208,7 +208,8 @@
                 self.task.record_success(&target);
                 self.task.record_prefix_ready(&target);
                 let elapsed = app.now() - start;
-                if idle {
+                // An assumed hit may have been none, and then the engine read more.
+                if idle && !self.choice.assumed {
                     self.observe_prefill_rate(elapsed);
                 }
                 let id = self.task.request.log_id(&self.run);
--- a/node/src/run/attempts.rs
+++ b/node/src/run/attempts.rs
@@ -98,6 +98,9 @@
             () = sender.closed() => None,
             ended = timeout(remaining, Attempt::new(self, choice, migrated).run()) => Some(ended),
         };
+        if matches!(ended, Some(Err(_))) {
+            self.record_missed_deadline();
+        }
         if !matches!(ended, Some(Ok(_))) {
             self.investigate_abandoned();
         }
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -33,10 +33,12 @@
 
     fn origin(&self) -> RoutingOrigin {
         let app = &self.app;
+        let view = app.member_view();
         RoutingOrigin {
             region: app.settings.region.clone(),
             zone: app.settings.zone.clone(),
-            instances: app.member_view().live().count() as u32 + 1,
+            instances: view.live().count() as u32 + 1,
+            partial: view.is_small_part(app.now()),
             salt: rand::random(),
         }
     }
@@ -108,6 +110,7 @@
             }
         };
         let prefill_tokens = routing.prompt - pick.hit;
+        let assumed = pick.assumed;
         let fetch_from = pick.fetch.map(|i| Target::from_view(&fleet.engines[i]));
         if let Some(key) = shared_prefix(&routing).filter(|_| self.request.proxied.is_some()) {
             let prefiller = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
@@ -131,7 +134,7 @@
         if let Some(proxied) = &self.request.proxied {
             let prefill_id = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} fetch={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} assumed={assumed} fetch={} first_ms={} wait_ms={}",
                 proxied.request.id,
                 routing.rank,
                 proxied.version,
@@ -144,7 +147,7 @@
                 pick.queue_wait.as_millis(),
             );
         }
-        Ok(EngineChoice { decode, prefill, prefill_tokens, fetch_from })
+        Ok(EngineChoice { decode, prefill, prefill_tokens, assumed, fetch_from })
     }
 
     /// Chooses the decode engine again, by current loads, once a prompt was prefilled elsewhere.
--- a/node/src/run/engine_choice.rs
+++ b/node/src/run/engine_choice.rs
@@ -10,6 +10,8 @@
     pub(super) prefill: Option<Target>,
     /// Prompt tokens left to prefill after the prefix cache hit.
     pub(super) prefill_tokens: Tokens,
+    /// Whether that hit is only assumed.
+    pub(super) assumed: bool,
     /// Engine from which the prefilling one fetches the KV cache of the prompt's shared prefix.
     pub(super) fetch_from: Option<Target>,
 }
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Counts a failure of the target if it has sent nothing of the answer by the deadline, whether or
+    /// not parts of a head arrived.
+    pub(super) fn record_missed_deadline(&self) {
+        if let Some((target, _)) = self.running_at.as_ref().filter(|_| self.last_piece.is_none()) {
+            update_breaker(&self.app, target, true, "no answer by the deadline");
+        }
+    }
+
     /// Investigates the target of an attempt that ended by its deadline or because the caller
     /// disconnected: the target may have crashed without closing its connections.
     pub(super) fn investigate_abandoned(&mut self) {
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -65,7 +65,13 @@
         fleet.suspects.insert(id.clone());
         self.isolated = Some(id);
         self.closed_since = None;
-        Ok(EngineChoice { decode, prefill: None, prefill_tokens: prompt, fetch_from: None })
+        Ok(EngineChoice {
+            decode,
+            prefill: None,
+            prefill_tokens: prompt,
+            assumed: false,
+            fetch_from: None,
+        })
     }
 
     /// Frees the engine reserved for this suspect, if any, for other suspects.
