--- a/daemon/tests/fault_injection/check.rs
+++ b/daemon/tests/fault_injection/check.rs
@@ -14,6 +14,9 @@
 /// Most such resends that may reach targets.
 const MAX_LATE_RESENDS: usize = 3;
 
+/// Time from a target's first answer that it is leaving, until when no instance sends it requests: the
+/// bound of the platform, and the time in which the others hear of it.
+const LEAVING_TIME: Duration = Duration::from_millis(3_000);
 /// Time after a limit was announced from which it is checked.
 const LIMIT_WINDOW: Duration = Duration::from_secs(3);
 /// Span in which requests to a limited target are counted.
@@ -60,6 +63,13 @@
         .then(|| format!("{most} requests in 4 s at a target with a limit of {limit}/s"))
 }
 
+/// Returns a violation if requests reached a target that had told the instances in its answers, from
+/// `announced` on, that it is leaving. All instances get an answer, or hear of it, in this time.
+pub fn check_leaving(arrivals: &[Instant], announced: Instant) -> Option<String> {
+    let late = arrivals.iter().filter(|a| **a > announced + LEAVING_TIME).count();
+    (late > 0).then(|| format!("{late} requests at a target that had said that it is leaving"))
+}
+
 /// Compares what callers received with what targets ran; returns a line for each violation.
 ///
 /// Requests from index `recovered` on ended after the last fault.
--- a/daemon/tests/fault_injection/fault_plan.rs
+++ b/daemon/tests/fault_injection/fault_plan.rs
@@ -23,6 +23,8 @@
     TargetBehaviors(usize, Vec<Behavior>),
     /// Adds a target and drains this one.
     DrainTarget(usize),
+    /// Adds a target; this one says in its answers that it is leaving, while the store is away.
+    LeaveUnlisted(usize),
     /// Writes the configuration under a newer version.
     RewriteConfig,
     /// Stops an instance with SIGSTOP until the end of the fault.
@@ -57,12 +59,23 @@
         Self { faults }
     }
 
+    /// Returns whether instances forget what a target said of itself, or the link to it is harmed, so
+    /// that it may get requests later than it should.
+    pub fn disturbs(&self, target: usize) -> bool {
+        use Fault::{Kill, Pause, TargetLink, Terminate};
+        self.faults.iter().any(|(_, _, fault)| match fault {
+            Kill(_) | Pause(_) | Terminate(_) => true,
+            TargetLink(i, _) => *i == target,
+            _ => false,
+        })
+    }
+
     /// Applies and ends the faults at their times; returns a line for each.
-    pub async fn run(self, fleet: &mut Fleet) -> Vec<String> {
+    pub async fn run(&self, fleet: &mut Fleet) -> Vec<String> {
         let started = Instant::now();
         let mut lines = Vec::new();
         let mut ends: Vec<(Duration, Fault)> = Vec::new();
-        for (at, duration, fault) in self.faults {
+        for (at, duration, fault) in self.faults.clone() {
             while let Some(i) = ends.iter().position(|(end, _)| *end <= at) {
                 let (end, ended) = ends.swap_remove(i);
                 sleep((started + end).saturating_duration_since(Instant::now())).await;
@@ -94,7 +107,7 @@
         Mode::DropAll,
     ][rng.gen_range(0..4)];
     let (target, instance) = (rng.gen_range(0..4), rng.gen_range(0..3));
-    match rng.gen_range(0..12) {
+    match rng.gen_range(0..13) {
         0 => Fault::TargetLink(target, link_mode),
         1 => Fault::ResetTarget(target),
         2 => Fault::StoreLink(instance, link_mode),
@@ -108,6 +121,7 @@
         8 => Fault::RewriteConfig,
         9 => Fault::Pause(instance),
         10 => Fault::Terminate(instance),
+        11 => Fault::LeaveUnlisted(target),
         _ if rng.gen() => Fault::Kill(instance),
         _ => Fault::Reload(instance),
     }
@@ -124,6 +138,8 @@
         Behavior::WrongId,
         Behavior::RespondTwice,
         Behavior::Hang,
+        Behavior::RefuseAfter(Duration::ZERO, ["0.4", "1.5", "soon"][rng.gen_range(0..3)]),
+        Behavior::Endless,
         Behavior::Delay(Duration::from_millis(rng.gen_range(10..900))),
     ];
     behaviors[rng.gen_range(0..behaviors.len())].clone()
@@ -143,6 +159,11 @@
             fleet.add_target().await;
             fleet.register(*i, "draining");
         }
+        Fault::LeaveUnlisted(i) => {
+            fleet.add_target().await;
+            fleet.store.set_down(true);
+            fleet.targets[*i].announce_leaving(Some("1"));
+        }
         Fault::RewriteConfig => fleet.rewrite_config(),
         Fault::Pause(i) => fleet.instances[*i].signal(Signal::SIGSTOP),
         Fault::Terminate(i) => fleet.instances[*i].restart(Signal::SIGTERM).await,
@@ -163,6 +184,10 @@
             fleet.instances[*i].store_link.reset_connections();
         }
         Fault::StoreDown => fleet.store.set_down(false),
+        Fault::LeaveUnlisted(i) => {
+            fleet.store.set_down(false);
+            fleet.register(*i, "draining");
+        }
         Fault::Pause(i) => fleet.instances[*i].signal(Signal::SIGCONT),
         _ => {}
     }
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -56,7 +56,8 @@
     fleet.targets[1].announce_limit(Some(&limit.to_string()));
     let announced = Instant::now();
     sleep(Duration::from_millis(500)).await;
-    let faults = FaultPlan::new(seed, FAULT_PERIOD).run(&mut fleet).await;
+    let plan = FaultPlan::new(seed, FAULT_PERIOD);
+    let faults = plan.run(&mut fleet).await;
     fleet.end_faults().await;
     sleep(RECOVERY).await;
     let recovered = callers.completed();
@@ -68,16 +69,25 @@
     found.extend(check::check_poison(&poisonings));
     let limited = fleet.targets[1].arrivals();
     found.extend(check::check_limit(&limited, limit, announced));
+    let leaving: Vec<usize> =
+        (0..fleet.targets.len()).filter(|i| fleet.targets[*i].left().is_some()).collect();
+    for target in leaving.iter().filter(|i| !plan.disturbs(**i)).map(|i| &fleet.targets[*i]) {
+        // The process that is started after a crash says so itself.
+        if let Some(left) = target.left().filter(|_| target.crashes().is_empty()) {
+            found.extend(check::check_leaving(&target.arrivals(), left));
+        }
+    }
     let served = history.iter().filter(|e| check::is_served(e)).count();
     let resumed: Vec<_> = history.iter().filter(|e| e.resumes.is_some()).collect();
     let went_on = resumed.iter().filter(|e| check::is_served(e)).count();
     println!(
-        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} limited={} limit={limit} resumed={} went_on={went_on}",
+        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} limited={} limit={limit} left={} resumed={} went_on={went_on}",
         history.len(),
         runs.len(),
         faults.len(),
         poisonings.len(),
         limited.len(),
+        leaving.len(),
         resumed.len()
     );
     if !found.is_empty() {
