--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LoadView, Notice, Registration},
+    super::{Availability, LoadView, Notice, Registration},
     crate::{
         clock::Time,
         ids::{
@@ -134,14 +134,25 @@
         }
     }
 
+    /// Returns whether the engine gets new work at `now`, or why not.
+    pub fn availability(&self, now: Time) -> Availability {
+        match self {
+            e if e.leaving => Availability::Leaving,
+            e if e.draining || e.unavailable => Availability::Changing,
+            e if !e.breaker.allows(now) => Availability::Failing,
+            e if e.is_held(now) => Availability::Held,
+            _ => Availability::Open,
+        }
+    }
+
     /// Returns true if new work may be sent to the engine.
     pub fn accepts_work(&self, now: Time) -> bool {
-        self.would_accept_work(now) && !self.is_held(now)
+        self.availability(now) == Availability::Open
     }
 
     /// Like [`Self::accepts_work`] once the target wants requests again.
     pub fn would_accept_work(&self, now: Time) -> bool {
-        !self.leaving && !self.draining && !self.unavailable && self.breaker.allows(now)
+        matches!(self.availability(now), Availability::Open | Availability::Held)
     }
 
     /// Returns true while the target wants no requests from this instance.
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! State of the engines as one instance knows it: load, prefix caches and work in flight.
 
+mod availability;
 mod cache;
 mod engine;
 mod in_flight;
@@ -13,8 +14,8 @@
 mod target_notices;
 
 pub use {
-    cache::*, engine::*, in_flight::*, load::*, prefix::*, prefix_locations::*, queued_tokens::*,
-    registration::*, running_mean::*, software_history::*, target_notices::*,
+    availability::*, cache::*, engine::*, in_flight::*, load::*, prefix::*, prefix_locations::*,
+    queued_tokens::*, registration::*, running_mean::*, software_history::*, target_notices::*,
 };
 
 #[cfg(test)]
--- a/core/src/limit/breaker.rs
+++ b/core/src/limit/breaker.rs
@@ -32,6 +32,11 @@
         self.open.as_ref().is_none_or(|o| now >= o.until && !o.probing)
     }
 
+    /// Returns whether the breaker is open, so that at most a probe may be sent.
+    pub fn is_open(&self) -> bool {
+        self.open.is_some()
+    }
+
     /// Records that a request is sent, which is the probe if the breaker is open.
     pub fn record_send(&mut self) {
         if let Some(open) = &mut self.open {
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -6,7 +6,7 @@
     crate::{
         clock::Time,
         error::{ErrorKind, Fault},
-        fleet::{CacheIndex, EngineView},
+        fleet::{Availability, CacheIndex, EngineView},
         manifest::Role,
     },
     std::time::Duration,
@@ -117,10 +117,28 @@
         let text = "the engines that could run the request want none for a time";
         return Fault::new(ErrorKind::NoCapacity, text).with_earliest_retry(until - now);
     }
-    let text = format!("no engine accepts requests for model {:?}", request.model.as_str());
+    let states = describe_engines(engines, request, now);
+    let model = request.model.as_str();
+    let text = format!("no engine accepts requests for model {model:?} ({states})");
     Fault::new(ErrorKind::NoTarget, text)
 }
 
+/// Counts the model's engines by role and availability, and those that have failed this request.
+fn describe_engines(engines: &[EngineView], request: &RoutingRequest, now: Time) -> String {
+    let of_model: Vec<&EngineView> = engines.iter().filter(|e| e.model == request.model).collect();
+    let mut text = format!("known={} tried={}", of_model.len(), request.excluded.len());
+    for role in [Role::Prefill, Role::Decode] {
+        for state in Availability::ALL {
+            let matches = |e: &&&EngineView| e.role == role && e.availability(now) == state;
+            let count = of_model.iter().filter(matches).count();
+            if count > 0 {
+                text += &format!(" {role}-{}={count}", state.label());
+            }
+        }
+    }
+    text
+}
+
 fn is_eligible(engine: &EngineView, request: &RoutingRequest, now: Time) -> bool {
     let excluded = request.excluded.contains(&engine.id);
     is_suitable(engine, request) && !excluded && engine.accepts_work(now)
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -39,6 +39,8 @@
     pub frozen_engines: IntGauge,
     /// Engines by role, as known to this instance.
     pub roles: IntGaugeVec,
+    /// Engines by service, role and availability, as known to this instance.
+    pub service_engines: IntGaugeVec,
     /// Rejected mesh frames by reason.
     pub refused_frames: IntCounterVec,
     /// Bytes sent to other instances over the mesh.
@@ -156,6 +158,13 @@
                 &r,
                 IntGaugeVec::new(Opts::new("lentil_engines", "Engines by role"), &["role"]),
             ),
+            service_engines: register(
+                &r,
+                IntGaugeVec::new(
+                    Opts::new("lentil_service_engines", "Engines by what they are available for"),
+                    &["service", "role", "state"],
+                ),
+            ),
             refused_frames: counters("lentil_mesh_refused_total", "Refused frames", &["reason"]),
             sent_bytes: counter("lentil_mesh_sent_bytes_total", "Bytes sent to other instances"),
             store_calls: counters("lentil_store_calls_total", "Calls to the store", &["call"]),
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -6,7 +6,7 @@
         http::Body,
     },
     hyper::Response,
-    lentil_core::{fleet::EngineView, ids::EngineId, manifest::Role},
+    lentil_core::{clock::Time, fleet::EngineView, ids::EngineId, manifest::Role},
     std::collections::BTreeSet,
 };
 
@@ -32,6 +32,16 @@
     pages.map_or(0, |p| p * PAGE_BYTES)
 }
 
+/// Counts the engines of each service by role and availability.
+fn update_service_engines(app: &App, now: Time) {
+    let gauge = &app.metrics.service_engines;
+    gauge.reset();
+    for engine in &app.fleet().engines {
+        let (role, state) = (engine.role.to_string(), engine.availability(now).label());
+        gauge.with_label_values(&[engine.model.as_str(), &role, state]).inc();
+    }
+}
+
 /// Updates the gauges that are read on demand and returns all metrics.
 fn metrics_response(app: &App) -> Response<Body> {
     for role in [Role::Prefill, Role::Decode] {
@@ -39,6 +49,7 @@
         app.metrics.roles.with_label_values(&[&role.to_string()]).set(count);
     }
     let now = app.now();
+    update_service_engines(app, now);
     let (members, size, dropped) = {
         let view = app.member_view();
         (view.live().count(), view.fleet_size(now), view.dropped_updates())
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -38,6 +38,9 @@
         self.app.metrics.record_attempt(&target.id, "answered");
         let now = self.app.now();
         if let Some(engine) = self.app.fleet().engine(&target.id) {
+            if engine.breaker.is_open() {
+                log::info!("breaker: target={} closed", target.id);
+            }
             engine.breaker.record_success();
             engine.last_answer = now;
         }
