--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -31,6 +31,17 @@
     assert!(breaker.allows(at(500)), "the target is tried again after the first wait");
 }
 
+#[test]
+fn breaker_probes_again_after_a_probe_that_found_the_target_down() {
+    let at = Time::from_millis;
+    let mut breaker = Breaker::default();
+    breaker.trip(at(0));
+    breaker.record_send();
+    breaker.trip(at(510));
+    assert!(!breaker.allows(at(1_509)), "the wait is doubled");
+    assert!(breaker.allows(at(1_510)));
+}
+
 #[test]
 fn breaker_needs_consecutive_failures() {
     let now = Time::ZERO;
