A service without decoding engines gets one at once

Cause: the decoding engines were taken away one after the other. Four prefilling ones remained, and no order followed: the balancer measures utilization from the requests that are sent, and without a decoding engine none is sent. An empty role read as idle. The state outlasts instances, since the roles are the engines' own.

Change: if no engine decodes, one that prefills is changed without warm-up, minimum gain or reversal delay.

--- a/core/src/plan/role_balancer.rs
+++ b/core/src/plan/role_balancer.rs
@@ -57,6 +57,8 @@
 /// The balancer needs no engine rates: the same work spread over one more engine lowers the
 /// utilization of each. It gives the busier role another engine if that lowers its utilization by
 /// more than a little for some time. A mix that swings back within seconds causes no change.
+///
+/// A service needs decoding engines to answer at all: if none is left, one is changed at once.
 #[derive(Debug, Clone)]
 pub struct RoleBalancer {
     mean: Utilization,
@@ -108,6 +110,11 @@
         let span =
             self.started.map_or(elapsed, |t| (now - t).as_secs_f64() + elapsed).min(MEAN_SPAN_S);
         self.mean = self.mean.blend(latest, elapsed / span.max(1e-3));
+        if split.decode == 0 && split.prefill > 0 {
+            // Requests are refused rather than sent, so the utilization shows no work.
+            self.last_change = Some((Role::Decode, now));
+            return Some(Role::Decode);
+        }
         let wanted = self.role_to_extend(split).filter(|role| self.change_allowed(*role, now));
         let since = match (wanted, self.wanted) {
             (Some(role), Some((old, since))) if role == old => since,
--- a/core/src/plan/tests.rs
+++ b/core/src/plan/tests.rs
@@ -136,6 +136,21 @@
     assert_eq!(run_balancer(60, Split { prefill: 3, decode: 3 }, |_| (3.0, 1.4)).1, 0);
 }
 
+#[test]
+fn balancer_extends_decoding_at_once_if_no_engine_decodes() {
+    for prefill in [1, 3] {
+        let mut balancer = RoleBalancer::new(Time::ZERO);
+        let split = Split { prefill, decode: 0 };
+        let role = balancer.decide(Utilization::default(), split, prefill, Time::from_millis(200));
+        assert_eq!(role, Some(Role::Decode), "{split:?}");
+    }
+    let none = Split { prefill: 0, decode: 0 };
+    assert_eq!(
+        RoleBalancer::new(Time::ZERO).decide(Utilization::default(), none, 0, Time::ZERO),
+        None
+    );
+}
+
 #[test]
 fn balancer_reverses_only_after_a_delay() {
     let mut balancer = RoleBalancer::new(Time::ZERO);
