Role changes of targets that have left end at once

Callers saw late requests for half a minute before the last decoding engine left: the mix called for more of them, and no order came.

Change: a change ends as soon as its target is leaving or gone, or another process runs under its name. The order itself stays in the ledger until it is settled, as before.

--- a/node/src/control/change.rs
+++ b/node/src/control/change.rs
@@ -3,7 +3,7 @@
     crate::{app::App, ports::StoreError},
     lentil_core::{
         clock::Time,
-        ids::EngineId,
+        ids::{EngineId, Incarnation},
         manifest::{EngineSpec, Role},
         mesh::Update,
         order::Order,
@@ -34,6 +34,8 @@
     pub engine: EngineId,
     order: Order,
     spec: EngineSpec,
+    /// Incarnation of the engine when the change began; zero if it was not known.
+    boot: Incarnation,
     step: Step,
     started: Time,
     /// Number under which the pause was announced.
@@ -64,10 +66,12 @@
         log::info!("control: draining engine {engine} for order: {order}");
         let pause_number = app.next_pause_number();
         let now = app.now();
+        let boot = app.fleet().engine(&engine).map_or(Incarnation(0), |e| e.boot);
         let change = Self {
             engine,
             order,
             spec,
+            boot,
             step: Step::Draining,
             started: now,
             pause_number,
@@ -106,6 +110,11 @@
         held: &mut HeldCell,
     ) -> Result<bool, StoreError> {
         let now = app.now();
+        if self.is_void(app) {
+            log::info!("control: engine {} has left, its change ends", self.engine);
+            self.announce(app, false, None);
+            return Ok(false);
+        }
         if now - self.started > CHANGE_TIMEOUT {
             log::warn!("control: engine {} did not complete its change in time", self.engine);
             self.announce(app, false, None);
@@ -128,6 +137,15 @@
         Ok(unfinished)
     }
 
+    /// Returns whether a registered engine is leaving or gone, or its process was replaced: it will
+    /// not serve in the new role.
+    fn is_void(&self, app: &App) -> bool {
+        let mut fleet = app.fleet();
+        let engine = fleet.engine(&self.engine);
+        let restarted = |boot: Incarnation| boot != self.boot && boot.0 != 0 && self.boot.0 != 0;
+        app.settings.hosted.is_some() && engine.is_none_or(|e| e.leaving || restarted(e.boot))
+    }
+
     /// Returns whether the engine may be sent its order: a load report measured after the pause
     /// had reached all instances shows no work.
     async fn drained(&self, app: &App) -> bool {
