Breakers: a probe that found the target down counts as failed, and one without a result lapses

Cause: a probe was a flag in the breaker that each end of an attempt had to give back. A failed connection trips the breaker, and a trip of an open breaker left the flag set: the target got no request any more from this instance until it restarted. The prefilling engine of a run that ended before its second stage was kept out in the same way.

Change: the probe is the time at which it was sent. A trip ends it as a failure does; a probe of which nothing is heard lapses after 2 s, whoever forgets it.

A table of all ends and a property test over random histories are new.

--- a/core/src/limit/breaker.rs
+++ b/core/src/limit/breaker.rs
@@ -3,9 +3,13 @@
 const TRIP_FAILURES: u32 = 3; // consecutive
 const MIN_OPEN_TIME: Duration = Duration::from_millis(500);
 const MAX_OPEN_TIME: Duration = Duration::from_secs(16);
+/// Time after which a probe without a result no longer holds back the next one.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Circuit breaker of one target. It opens after consecutive failures; once its wait has passed,
 /// one request at a time goes through as a probe, and a probe that succeeds closes it.
+///
+/// A probe that never reports how it ended lapses after [`PROBE_TIMEOUT`].
 #[derive(Debug, Clone, Default)]
 pub struct Breaker {
     failures: u32,
@@ -16,20 +20,33 @@
 struct OpenState {
     until: Time,
     wait: Duration,
-    /// Whether a probe is in flight.
-    probing: bool,
+    /// When the probe in flight was sent.
+    probe: Option<Time>,
 }
 
 impl OpenState {
     fn new(now: Time) -> Self {
-        Self { until: now + MIN_OPEN_TIME, wait: MIN_OPEN_TIME, probing: false }
+        Self { until: now + MIN_OPEN_TIME, wait: MIN_OPEN_TIME, probe: None }
+    }
+
+    fn allows(&self, now: Time) -> bool {
+        now >= self.until && self.probe.is_none_or(|sent| now - sent >= PROBE_TIMEOUT)
+    }
+
+    /// Doubles the wait if a probe is in flight. Other failures are those of requests that were sent
+    /// before the breaker opened; they fail together with those that opened it and say nothing new.
+    fn record_failure(&mut self, now: Time) {
+        if self.probe.take().is_some() {
+            self.wait = (self.wait * 2).min(MAX_OPEN_TIME);
+            self.until = now + self.wait;
+        }
     }
 }
 
 impl Breaker {
     /// Returns whether a request may be sent to the target at `now`.
     pub fn allows(&self, now: Time) -> bool {
-        self.open.as_ref().is_none_or(|o| now >= o.until && !o.probing)
+        self.open.as_ref().is_none_or(|o| o.allows(now))
     }
 
     /// Returns whether the breaker is open, so that at most a probe may be sent.
@@ -37,17 +54,17 @@
         self.open.is_some()
     }
 
-    /// Records that a request is sent, which is the probe if the breaker is open.
-    pub fn record_send(&mut self) {
+    /// Records that a request is sent at `now`, which is the probe if the breaker is open.
+    pub fn record_send(&mut self, now: Time) {
         if let Some(open) = &mut self.open {
-            open.probing = true;
+            open.probe = Some(now);
         }
     }
 
     /// Records that the request passed to [`record_send`](Self::record_send) was not sent after all.
     pub fn cancel_send(&mut self) {
         if let Some(open) = &mut self.open {
-            open.probing = false;
+            open.probe = None;
         }
     }
 
@@ -57,27 +74,19 @@
     }
 
     /// Records a failure at `now`. It opens the breaker after enough consecutive failures, and
-    /// doubles the wait of one whose probe is in flight. Requests that were sent before it opened fail
-    /// together with those that opened it, which says nothing new.
+    /// doubles the wait of one whose probe is in flight.
     pub fn record_failure(&mut self, now: Time) {
         self.failures += 1;
-        if let Some(open) = &mut self.open {
-            if !open.probing {
-                return;
-            }
-            open.wait = (open.wait * 2).min(MAX_OPEN_TIME);
-            open.until = now + open.wait;
-            open.probing = false;
-        } else if self.failures >= TRIP_FAILURES {
-            self.open = Some(OpenState::new(now));
+        match &mut self.open {
+            Some(open) => open.record_failure(now),
+            None if self.failures >= TRIP_FAILURES => self.open = Some(OpenState::new(now)),
+            None => {}
         }
     }
 
     /// Opens the breaker at once, for a target that is known to be down.
     pub fn trip(&mut self, now: Time) {
-        self.failures = self.failures.max(TRIP_FAILURES);
-        if self.open.is_none() {
-            self.open = Some(OpenState::new(now));
-        }
+        self.failures = self.failures.max(TRIP_FAILURES - 1);
+        self.record_failure(now);
     }
 }
--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -13,11 +13,11 @@
     }
     assert!(!breaker.allows(at(499)));
     assert!(breaker.allows(at(500)));
-    breaker.record_send();
+    breaker.record_send(at(500));
     assert!(!breaker.allows(at(501)), "a second probe");
     breaker.record_failure(at(510));
     assert!(!breaker.allows(at(1_509)));
-    breaker.record_send();
+    breaker.record_send(at(1_510));
     breaker.record_success();
     assert!(breaker.allows(at(1_510)));
 }
@@ -36,12 +36,54 @@
     let at = Time::from_millis;
     let mut breaker = Breaker::default();
     breaker.trip(at(0));
-    breaker.record_send();
+    breaker.record_send(at(500));
     breaker.trip(at(510));
     assert!(!breaker.allows(at(1_509)), "the wait is doubled");
     assert!(breaker.allows(at(1_510)));
 }
 
+#[test]
+fn breaker_probes_again_after_any_end_of_a_probe() {
+    let at = Time::from_millis;
+    type End = fn(&mut Breaker, Time);
+    let ends: [(&str, End, u64); 5] = [
+        ("answered", |b, _| b.record_success(), 510),
+        ("not sent after all", |b, _| b.cancel_send(), 510),
+        ("failed", Breaker::record_failure, 1_510),
+        ("target down", Breaker::trip, 1_510),
+        ("no result", |_, _| {}, 2_500),
+    ];
+    for (name, end, allowed) in ends {
+        let mut breaker = Breaker::default();
+        breaker.trip(at(0));
+        breaker.record_send(at(500));
+        end(&mut breaker, at(510));
+        assert!(breaker.allows(at(allowed)), "{name}");
+        assert!(!breaker.allows(at(allowed - 1)) || allowed == 510, "{name}: too early");
+    }
+}
+
+proptest::proptest! {
+    #[test]
+    fn breaker_allows_a_request_after_its_longest_wait(
+        steps in proptest::collection::vec((0..5_u8, 0..3_000_u64), 0..60)
+    ) {
+        let (mut breaker, mut at) = (Breaker::default(), 0);
+        for (event, elapsed) in steps {
+            at += elapsed;
+            let now = Time::from_millis(at);
+            match event {
+                0 => breaker.record_send(now),
+                1 => breaker.cancel_send(),
+                2 => breaker.record_failure(now),
+                3 => breaker.trip(now),
+                _ => breaker.record_success(),
+            }
+        }
+        proptest::prop_assert!(breaker.allows(Time::from_millis(at + 16_000)));
+    }
+}
+
 #[test]
 fn breaker_needs_consecutive_failures() {
     let now = Time::ZERO;
--- a/node/src/commands/service.rs
+++ b/node/src/commands/service.rs
@@ -200,7 +200,7 @@
         let ((_, id), target) =
             available.min_by_key(|(key, t)| (t.in_flight, t.zone != *zone, key.1.clone()))?;
         target.in_flight += 1;
-        target.breaker.record_send();
+        target.breaker.record_send(now);
         Some((id.clone(), target.address))
     }
 
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -118,13 +118,13 @@
         }
         let prefill = pick.prefill.map(|i| {
             let engine = &mut fleet.engines[i];
-            engine.breaker.record_send();
+            engine.breaker.record_send(now);
             engine.load.record_send(prefill_tokens, false, now);
             cache.record_send(&engine.id, &routing.blocks);
             Target::from_view(engine)
         });
         let engine = &mut fleet.engines[pick.decode];
-        engine.breaker.record_send();
+        engine.breaker.record_send(now);
         let prefill_here = if prefill.is_none() { prefill_tokens } else { Tokens(0) };
         engine.load.record_send(prefill_here, true, now);
         if prefill.is_none() {
--- a/node/src/run/isolation.rs
+++ b/node/src/run/isolation.rs
@@ -59,7 +59,7 @@
         let id = found.ok_or_else(no_engine)?;
         let prompt = routing.prompt + Tokens(self.sent_tokens.len() as u64);
         let engine = fleet.engine(&id).ok_or_else(no_engine)?;
-        engine.breaker.record_send();
+        engine.breaker.record_send(now);
         engine.load.record_send(prompt, true, now);
         let decode = Target::from_view(engine);
         fleet.suspects.insert(id.clone());
