Targets of a service that all fail are probed early; breakers wait for 4 s at most

Cause: each failed probe doubles a breaker's wait, up to 16 s, longer than the users' bound of 12 s for a service to be back. If all targets fail together, for example while they reject requests, they are well together too, and every instance refused whole services meanwhile.

Change: as long as no target of a service accepts work, each is probed 0.5 s after its latest failure. The longest wait is 4 s, so that a service with a few sound targets has all of them back in time.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -150,6 +150,16 @@
         self.availability(now) == Availability::Open
     }
 
+    /// Like [`Self::accepts_work`] if no other engine of the service does, so that one that fails is
+    /// probed early.
+    pub fn accepts_early_probe(&self, now: Time) -> bool {
+        match self.availability(now) {
+            Availability::Open => true,
+            Availability::Failing => !self.is_held(now) && self.breaker.allows_early(now),
+            Availability::Leaving | Availability::Changing | Availability::Held => false,
+        }
+    }
+
     /// Like [`Self::accepts_work`] once the target wants requests again.
     pub fn would_accept_work(&self, now: Time) -> bool {
         matches!(self.availability(now), Availability::Open | Availability::Held)
--- a/core/src/limit/breaker.rs
+++ b/core/src/limit/breaker.rs
@@ -2,7 +2,7 @@
 
 const TRIP_FAILURES: u32 = 3; // consecutive
 const MIN_OPEN_TIME: Duration = Duration::from_millis(500);
-const MAX_OPEN_TIME: Duration = Duration::from_secs(16);
+const MAX_OPEN_TIME: Duration = Duration::from_secs(4);
 /// Time after which a probe without a result no longer holds back the next one.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -18,7 +18,8 @@
 
 #[derive(Debug, Clone)]
 struct OpenState {
-    until: Time,
+    /// When the breaker opened or its latest probe failed.
+    failed: Time,
     wait: Duration,
     /// When the probe in flight was sent.
     probe: Option<Time>,
@@ -26,11 +27,12 @@
 
 impl OpenState {
     fn new(now: Time) -> Self {
-        Self { until: now + MIN_OPEN_TIME, wait: MIN_OPEN_TIME, probe: None }
+        Self { failed: now, wait: MIN_OPEN_TIME, probe: None }
     }
 
-    fn allows(&self, now: Time) -> bool {
-        now >= self.until && self.probe.is_none_or(|sent| now - sent >= PROBE_TIMEOUT)
+    /// Returns whether a probe may be sent at `now`, `wait` after the latest failure at the earliest.
+    fn allows_after(&self, wait: Duration, now: Time) -> bool {
+        now >= self.failed + wait && self.probe.is_none_or(|sent| now - sent >= PROBE_TIMEOUT)
     }
 
     /// Doubles the wait if a probe is in flight. Other failures are those of requests that were sent
@@ -38,7 +40,7 @@
     fn record_failure(&mut self, now: Time) {
         if self.probe.take().is_some() {
             self.wait = (self.wait * 2).min(MAX_OPEN_TIME);
-            self.until = now + self.wait;
+            self.failed = now;
         }
     }
 }
@@ -46,7 +48,15 @@
 impl Breaker {
     /// Returns whether a request may be sent to the target at `now`.
     pub fn allows(&self, now: Time) -> bool {
-        self.open.as_ref().is_none_or(|o| o.allows(now))
+        self.open.as_ref().is_none_or(|o| o.allows_after(o.wait, now))
+    }
+
+    /// Like [`Self::allows`], but with the shortest wait, whatever number of probes has failed.
+    ///
+    /// For the time in which all targets of a service fail: they often fail for a common reason and
+    /// return together, and there is none to which requests could go meanwhile.
+    pub fn allows_early(&self, now: Time) -> bool {
+        self.open.as_ref().is_none_or(|o| o.allows_after(MIN_OPEN_TIME, now))
     }
 
     /// Returns whether the breaker is open, so that at most a probe may be sent.
--- a/core/src/limit/tests.rs
+++ b/core/src/limit/tests.rs
@@ -80,7 +80,7 @@
                 _ => breaker.record_success(),
             }
         }
-        proptest::prop_assert!(breaker.allows(Time::from_millis(at + 16_000)));
+        proptest::prop_assert!(breaker.allows(Time::from_millis(at + 4_000)));
     }
 }
 
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -37,7 +37,7 @@
 /// that has it is busy.
 ///
 /// An engine whose software other instances may not know yet begins a stream only if no other engine
-/// can.
+/// can. If all engines that could run the request fail, they are probed early.
 ///
 /// # Errors
 /// [`ErrorKind::NoTarget`] if no engine accepts the request.
@@ -49,27 +49,37 @@
     now: Time,
 ) -> Result<Pick, Fault> {
     let avoided = |e: &EngineView| request.avoids_software(e, now);
-    let settled = || choose_if(engines, cache, request, origin, |e| !avoided(e), now);
-    let all = || choose_if(engines, cache, request, origin, |_| true, now);
-    match engines.iter().any(avoided) {
-        true => settled().or_else(|_| all()),
-        false => all(),
+    let accepts = |e: &EngineView| e.accepts_work(now);
+    let settled = |e: &EngineView| accepts(e) && !avoided(e);
+    let choose_among = |accepts: &dyn Fn(&EngineView) -> bool| {
+        choose_if(engines, cache, request, origin, accepts, now)
+    };
+    let found = match engines.iter().any(avoided) {
+        true => choose_among(&settled).or_else(|_| choose_among(&accepts)),
+        false => choose_among(&accepts),
+    };
+    match found {
+        Err(fault) if fault.kind == ErrorKind::NoTarget => {
+            choose_among(&|e| e.accepts_early_probe(now))
+        }
+        found => found,
     }
 }
 
-/// Like [`choose`], among the engines for which `allows` returns true.
+/// Like [`choose`], among the engines for which `accepts` returns true.
 fn choose_if(
     engines: &[EngineView],
     cache: &CacheIndex,
     request: &RoutingRequest,
     origin: &RoutingOrigin,
-    allows: impl Fn(&EngineView) -> bool,
+    accepts: impl Fn(&EngineView) -> bool,
     now: Time,
 ) -> Result<Pick, Fault> {
     let mut prefill: Option<Candidate> = None;
     let mut decode: Option<Candidate> = None;
     let mut both: Option<Candidate> = None;
-    let eligible = |e: &EngineView| is_eligible(e, request, now) && allows(e);
+    let excluded = |e: &EngineView| request.excluded.contains(&e.id);
+    let eligible = |e: &EngineView| is_suitable(e, request) && !excluded(e) && accepts(e);
     let home = origin.partial.then(|| prefix_home(engines, request, eligible)).flatten();
     let copies = PrefixCopies::find(engines, &cache.locations, request, now).with_assumed(home);
     for (index, engine) in engines.iter().enumerate() {
@@ -139,11 +149,6 @@
     text
 }
 
-fn is_eligible(engine: &EngineView, request: &RoutingRequest, now: Time) -> bool {
-    let excluded = request.excluded.contains(&engine.id);
-    is_suitable(engine, request) && !excluded && engine.accepts_work(now)
-}
-
 /// Returns whether the engine could run the request, whatever its present state.
 fn is_suitable(engine: &EngineView, request: &RoutingRequest) -> bool {
     let loaded = request.adapter.as_ref().is_none_or(|a| engine.adapters.contains(a));
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -107,6 +107,28 @@
     }
 }
 
+#[test]
+fn choose_probes_failing_engines_early_if_no_other_accepts_work() {
+    let at = Time::from_millis;
+    let mut engines = [engine("d0", Role::Decode), engine("d1", Role::Decode)];
+    let cache = CacheIndex::default();
+    let pick = |engines: &[EngineView], ms| {
+        choose(engines, &cache, &request(100), &origin(), at(ms)).map(|p| p.decode).ok()
+    };
+    // Failed probes have made the wait of the first engine long.
+    for ms in [0, 500, 1_500, 3_500] {
+        engines[0].breaker.record_send(at(ms));
+        engines[0].breaker.trip(at(ms));
+    }
+    assert_eq!(pick(&engines, 4_000), Some(1), "the engine without failures");
+    engines[1].breaker.trip(at(3_900));
+    assert_eq!(pick(&engines, 3_999), None, "too soon after the latest failures");
+    assert_eq!(pick(&engines, 4_000), Some(0));
+    engines[0].breaker.record_send(at(4_000));
+    assert_eq!(pick(&engines, 4_100), None, "a probe is in flight");
+    assert_eq!(pick(&engines, 4_400), Some(1));
+}
+
 #[test]
 fn choose_prefers_its_own_zone_until_the_engine_there_is_full() {
     let mut engines = [engine("far", Role::Decode), engine("near", Role::Decode)];
--- a/node/src/commands/service.rs
+++ b/node/src/commands/service.rs
@@ -1,7 +1,7 @@
 use {
     super::claimed_run::{claim, ClaimStart},
     crate::{
-        app::App,
+        app::{App, TargetView},
         front::CallerRequest,
         http::{full, Body},
         ports::ServiceError,
@@ -194,8 +194,14 @@
     ) -> Option<(TargetId, SocketAddr)> {
         let mut fleet = app.fleet();
         let zone = &app.settings.zone;
-        let available = fleet.targets.iter_mut().filter(|((service, id), t)| {
-            *service == self.service && !tried.contains(id) && !t.leaving && t.breaker.allows(now)
+        let suitable = |(service, id): &(ServiceId, TargetId), t: &TargetView| {
+            *service == self.service && !tried.contains(id) && !t.leaving
+        };
+        // If all targets fail, they are probed early.
+        let early = !fleet.targets.iter().any(|(key, t)| suitable(key, t) && t.breaker.allows(now));
+        let available = fleet.targets.iter_mut().filter(|(key, t)| {
+            let allows = t.breaker.allows(now) || early && t.breaker.allows_early(now);
+            suitable(key, t) && allows
         });
         let ((_, id), target) =
             available.min_by_key(|(key, t)| (t.in_flight, t.zone != *zone, key.1.clone()))?;
