Role orders go to engines that fail only if there is no other

Change: engines with an open breaker come last, and an engine whose report cannot be read before an order opens its breaker.

dead_target_does_not_keep_the_last_decoding_role_from_others failed before (no request served within 12 s) and passes now.

--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod holders;
 mod send_gate;
+mod target_failure;
 
 pub use {active_manifest::*, admission::*, clock::*, fleet::*, holders::*, send_gate::*};
 
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -45,7 +45,9 @@
             let last = role == Role::Prefill && is_last_decoding(&serving, e);
             e.role != role && !last && !e.is_held(now) && !self.unsettled.contains(&e.id)
         };
-        let engine = serving.iter().filter(eligible).min_by_key(|e| expected_load(e, now))?;
+        // An engine that fails has little load, but may not be there to take the order.
+        let key = |e: &&&EngineView| (!e.breaker.allows(now), expected_load(e, now));
+        let engine = serving.iter().filter(eligible).min_by_key(key)?;
         log::info!(
             "control: cell={} engine={} to={role} prefilling={} decoding={} prefill_use={:.2} decode_use={:.2}",
             self.cell,
--- a/node/src/control/orders.rs
+++ b/node/src/control/orders.rs
@@ -34,8 +34,15 @@
     ) -> Result<OrderResult, StoreError> {
         let target = app.addressee(id, spec.address);
         let check = || app.check_control(&target);
-        let Ok(report) = app.ports.engines.report(&target, &check).await else {
-            return Ok(OrderResult::Refused);
+        let report = match app.ports.engines.report(&target, &check).await {
+            Ok(report) => report,
+            Err(error) => {
+                log::info!("control: no order sent to engine {id}: {error}");
+                if !matches!(error, EngineError::Denied(_)) {
+                    app.record_target_failure(&target, false, &error.to_string());
+                }
+                return Ok(OrderResult::Refused);
+            }
         };
         if report.fulfils(&order) {
             return Ok(OrderResult::Accepted);
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -55,7 +55,7 @@
         let proxied = self.request.proxied.is_some();
         let unreachable = error.not_sent() || matches!(error, EngineError::Misdirected);
         let alive = matches!(error, EngineError::Refused(_)) || proxied && !unreachable;
-        update_breaker(&self.app, target, alive, &error.to_string());
+        self.app.record_target_failure(target, alive, &error.to_string());
         let suspicious = match error {
             EngineError::Lost(_) => true,
             EngineError::Timeout => self.is_silent(target),
@@ -77,7 +77,7 @@
     /// not parts of a head arrived.
     pub(super) fn record_missed_deadline(&self) {
         if let Some((target, _)) = self.running_at.as_ref().filter(|_| self.last_piece.is_none()) {
-            update_breaker(&self.app, target, true, "no answer by the deadline");
+            self.app.record_target_failure(target, true, "no answer by the deadline");
         }
     }
 
@@ -102,21 +102,6 @@
     }
 }
 
-/// Counts a failure in the target's circuit breaker, or opens it at once if the target is down.
-fn update_breaker(app: &App, target: &Target, alive: bool, reason: &str) {
-    let now = app.now();
-    let mut fleet = app.fleet();
-    let Some(engine) = fleet.engine(&target.id) else { return };
-    let before = engine.breaker.allows(now);
-    match alive {
-        true => engine.breaker.record_failure(now),
-        false => engine.breaker.trip(now),
-    }
-    if before && !engine.breaker.allows(now) {
-        log::info!("breaker: target={} open after={reason:?}", target.id);
-    }
-}
-
 /// Finds out whether a target that lost an answer has crashed, and reports the crash if so.
 async fn investigate(app: Arc<App>, fingerprint: Fingerprint, target: Target) {
     let began = app.now();
@@ -133,7 +118,7 @@
     if !verdict.is_crash(others_answer) {
         return;
     }
-    update_breaker(&app, &target, false, "it has crashed");
+    app.record_target_failure(&target, false, "it has crashed");
     report_crash(&app, fingerprint, Crash { engine: target.id, boot: target.boot }).await;
 }
 
