A service keeps two decoding engines if it has others

Change: below two decoding engines one more is changed at once, if one remains to prefill, and no change leaves fewer.

balancer_keeps_a_second_decoding_engine is new.

--- a/core/src/plan/role_balancer.rs
+++ b/core/src/plan/role_balancer.rs
@@ -20,6 +20,9 @@
 /// Time after a change before one in the opposite direction: the average has to settle, and an
 /// engine serves no requests while it changes back and forth.
 const REVERSAL_DELAY: Duration = Duration::from_secs(20);
+/// Fewest decoding engines if there are others: with a single one, the service stops for seconds when
+/// that one leaves.
+const MIN_DECODING: usize = 2;
 /// Share of the engines that may be out of service for a role change at the same time.
 const MAX_UNAVAILABLE_SHARE: f64 = 0.2;
 
@@ -58,7 +61,7 @@
 /// utilization of each. It gives the busier role another engine if that lowers its utilization by
 /// more than a little for some time. A mix that swings back within seconds causes no change.
 ///
-/// A service needs decoding engines to answer at all: if none is left, one is changed at once.
+/// A service needs decoding engines to answer at all: below [`MIN_DECODING`] one is changed at once.
 #[derive(Debug, Clone)]
 pub struct RoleBalancer {
     mean: Utilization,
@@ -110,10 +113,12 @@
         let span =
             self.started.map_or(elapsed, |t| (now - t).as_secs_f64() + elapsed).min(MEAN_SPAN_S);
         self.mean = self.mean.blend(latest, elapsed / span.max(1e-3));
-        if split.decode == 0 && split.prefill > 0 {
-            // Requests are refused rather than sent, so the utilization shows no work.
-            self.last_change = Some((Role::Decode, now));
-            return Some(Role::Decode);
+        if split.decode < MIN_DECODING && (split.decode == 0 || split.prefill > 1) {
+            // Without decoding engines requests are refused rather than sent, so the utilization
+            // shows no work.
+            let extends = split.prefill > 0;
+            self.last_change = extends.then_some((Role::Decode, now)).or(self.last_change);
+            return extends.then_some(Role::Decode);
         }
         let wanted = self.role_to_extend(split).filter(|role| self.change_allowed(*role, now));
         let since = match (wanted, self.wanted) {
@@ -140,10 +145,12 @@
             false => Role::Decode,
         };
         let after = self.mean.rescale(split, split.with_change(role)?);
-        let decode_full = role == Role::Prefill && after.decode > MAX_DECODE_UTILIZATION;
+        let to_prefill = role == Role::Prefill;
+        let too_few = to_prefill && split.decode <= MIN_DECODING;
+        let decode_full = to_prefill && after.decode > MAX_DECODE_UTILIZATION;
         (busier >= MIN_BUSY_UTILIZATION
             && busier - after.max_role() >= MIN_UTILIZATION_GAIN
-            && !decode_full)
+            && !(too_few || decode_full))
             .then_some(role)
     }
 
--- a/core/src/plan/tests.rs
+++ b/core/src/plan/tests.rs
@@ -151,6 +151,17 @@
     );
 }
 
+#[test]
+fn balancer_keeps_a_second_decoding_engine() {
+    let mut balancer = RoleBalancer::new(Time::ZERO);
+    let left = Split { prefill: 3, decode: 1 };
+    let idle = Utilization::default();
+    assert_eq!(balancer.decide(idle, left, 0, Time::from_millis(200)), Some(Role::Decode));
+    // Prefilling is busy and decoding idle, but no decoding engine can be spared.
+    let two = Split { prefill: 2, decode: 2 };
+    assert_eq!(run_balancer(60, two, |_| (5.0, 0.0)).0, two);
+}
+
 #[test]
 fn balancer_reverses_only_after_a_delay() {
     let mut balancer = RoleBalancer::new(Time::ZERO);
