Parts of prompts that crash targets are quarantined

Cause: the quarantine knew whole requests. Each of these is a new one, and each may take two engines down.

Change: a crash is held against the shared parts of the requests that were in work, too. A part is cleared, here and at all instances, by an answer that a target completes on it; the parts that all share are cleared within milliseconds. Three crashes 0.2 s apart without an answer between them quarantine the part: its requests are refused at once, checked at the last gate before each send. It is told, stored and reconciled as the quarantine of requests is. One request is tried 15 s, 1 min and 4 min after the last crash, so that a part blamed by mistake returns.

Ruled out: unrecognized crashes (H2), late news (H3).

--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -3,14 +3,14 @@
     crate::{
         fleet::{InFlight, PrefixNote, TargetBatch},
         ids::{
-            CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, Millis, ModelId,
+            CellId, EngineId, Fence, Incarnation, InstanceId, Millis, ModelId, PrefixHash,
             RequestRate, Revision,
         },
         limit::Permit,
         manifest::{Edit, ManifestRecord, Role},
         order::Holder,
         plan::Demand,
-        poison::{Crash, QuarantineDigest},
+        poison::{Crash, QuarantineDigest, Subject},
         stream::{OriginAnswer, StreamKey, StreamOrigin},
     },
     serde::{Deserialize, Serialize},
@@ -68,7 +68,7 @@
     Crashes(Vec<CrashNote>),
     /// Digest of the requests in the sender's quarantine, by datagram after each heartbeat.
     QuarantineDigest(QuarantineDigest),
-    /// Requests the crashes by which requests are in the receiver's quarantine.
+    /// Requests the crashes by which requests and parts are in the receiver's quarantine.
     PullQuarantine,
     /// Changes of the rate limits that targets announce, by datagram to all members.
     Limits(Vec<LimitNote>),
@@ -88,6 +88,8 @@
         /// The answer.
         reply: Reply,
     },
+    /// Parts that were blamed for crashes, and on which targets have completed answers, by datagram.
+    ClearedParts(Vec<PrefixHash>),
 }
 
 /// Rate limit that a target has begun to announce, has changed or has ended.
@@ -154,11 +156,11 @@
     Unknown,
 }
 
-/// A crash of a target while it ran a request.
+/// A crash of a target while it ran a request, or one with a part.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNote {
-    /// Hash that identifies the request.
-    pub fingerprint: Fingerprint,
+    /// The request or part.
+    pub subject: Subject,
     /// Target that crashed, with its incarnation.
     pub crash: Crash,
     /// Time since the crash; zero in the first report of it.
@@ -210,8 +212,8 @@
     },
     /// A target crashed while it ran a request.
     Crashed {
-        /// Hash that identifies the request.
-        fingerprint: Fingerprint,
+        /// The request, or a part of its prompt.
+        subject: Subject,
         /// Target that crashed, with its incarnation.
         crash: Crash,
     },
--- a/core/src/mesh/tests.rs
+++ b/core/src/mesh/tests.rs
@@ -234,7 +234,7 @@
     (0..64).for_each(|i| view.queue_update(leaving(i)));
     view.take_updates(64);
     let crash = Crash { engine: "e".parse().unwrap(), boot: Incarnation(1) };
-    let news = Update::Crashed { fingerprint: Fingerprint(1), crash };
+    let news = Update::Crashed { subject: Fingerprint(1).into(), crash };
     view.queue_update(news.clone());
     view.take_updates(0);
     (64..100).for_each(|i| view.queue_update(leaving(i)));
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -1,7 +1,8 @@
 use {
+    super::{ClearedParts, Subject},
     crate::{
         clock::Time,
-        ids::{EngineId, Fingerprint, Incarnation},
+        ids::{EngineId, Fingerprint, Incarnation, PrefixHash},
     },
     serde::{Deserialize, Serialize},
     smallvec::SmallVec,
@@ -11,19 +12,29 @@
     },
 };
 
-/// Number of target crashes after which a fingerprint is quarantined.
-pub const MAX_LOST_TARGETS: usize = 2;
-/// Highest number of tracked fingerprints; beyond it the one with the oldest crash is removed, a
-/// quarantined one only if there is no other.
+/// Highest number of tracked requests and parts; beyond it the one with the oldest crash is removed,
+/// a quarantined one only if there is no other.
 pub const MAX_SUSPECTS: usize = 4_096;
-/// Time after its last crash for which a fingerprint is restricted.
+/// Time after its last crash for which a request or part is restricted.
 pub const SUSPECT_RETENTION: Duration = Duration::from_secs(3_600);
 
 /// Time after a crash for which no suspects are sent to the target. It is longer than a suspect
 /// that the crash left behind waits for its next run.
 const CRASHED_TARGET_REST: Duration = Duration::from_secs(30);
 
-/// Digest of the fingerprints in a quarantine, to find out whether two instances hold the same ones.
+/// Waits after the last crash of a quarantined part until one request with it is tried again, by the
+/// number of tries; then there is none any more. A part that was blamed by mistake is cleared by that.
+const TRIAL_WAITS: [Duration; 3] =
+    [Duration::from_secs(15), Duration::from_secs(60), Duration::from_secs(240)];
+/// Time after which a trial without a result is repeated.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between crashes of targets under a part from which they count as two: targets that crash
+/// together have another cause.
+const MIN_CRASH_GAP: Duration = Duration::from_millis(200);
+/// Most crashes recorded for one part.
+const MAX_PART_CRASHES: usize = 6;
+
+/// Digest of the quarantined requests and parts, to find out whether two instances hold the same ones.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct QuarantineDigest(u64);
@@ -44,7 +55,7 @@
     pub boot: Incarnation,
 }
 
-/// Whether and how requests with a fingerprint may run.
+/// Whether and how a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPermission {
     /// On a target together with other requests.
@@ -55,19 +66,53 @@
     Quarantined,
 }
 
+/// A crash, and when it no longer counts. The time of the crash itself may lie before the start of
+/// this process.
+#[derive(Debug, Clone)]
+struct CrashRecord {
+    crash: Crash,
+    ends: Time,
+}
+
+impl CrashRecord {
+    fn age(&self, now: Time) -> Duration {
+        SUSPECT_RETENTION.saturating_sub(self.ends - now)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Suspect {
-    crashes: SmallVec<[Crash; MAX_LOST_TARGETS]>,
-    /// When the restriction ends, [`SUSPECT_RETENTION`] after the last crash. The time of the crash
-    /// itself may lie before the start of this process.
+    crashes: SmallVec<[CrashRecord; 2]>,
+    /// When the restriction ends, [`SUSPECT_RETENTION`] after the last crash.
     ends: Time,
     /// Whether this instance found one of the crashes itself.
     found: bool,
+    /// When this instance last tried a request with the part.
+    tried: Option<Time>,
 }
 
 impl Suspect {
-    fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= MAX_LOST_TARGETS
+    fn is_quarantined(&self, subject: Subject) -> bool {
+        self.crashes.len() >= subject.crash_limit()
+    }
+
+    /// Returns whether a crash that counts until `ends` adds to those recorded.
+    fn is_new(&self, subject: Subject, crash: &Crash, ends: Time) -> bool {
+        let apart = |other: Time| (ends - other).max(other - ends) >= MIN_CRASH_GAP;
+        match subject {
+            Subject::Request(_) if self.is_quarantined(subject) => false,
+            Subject::Request(_) => self.crashes.iter().all(|c| c.crash != *crash),
+            Subject::Part(_) if self.crashes.len() >= MAX_PART_CRASHES => false,
+            Subject::Part(_) => self.crashes.iter().all(|c| c.crash != *crash && apart(c.ends)),
+        }
+    }
+
+    /// Returns whether a quarantined part may be tried at `now`.
+    fn trial_due(&self, part: PrefixHash, now: Time) -> bool {
+        let limit = Subject::Part(part).crash_limit();
+        let wait = self.crashes.len().checked_sub(limit).and_then(|i| TRIAL_WAITS.get(i));
+        let rested = wait.is_some_and(|wait| self.age(now) >= *wait);
+        rested && self.tried.is_none_or(|tried| now - tried >= TRIAL_TIMEOUT)
     }
 
     /// Returns the time since its last crash.
@@ -76,110 +121,176 @@
     }
 }
 
-/// Fingerprints of requests that were running on targets when these crashed.
+/// Requests, and parts of their prompts, that were in work on targets when these crashed.
+///
+/// A part is blamed for a crash unless a target has completed an answer on it lately, and cleared as
+/// soon as one does: of those that run beside each other, only the part that crashes targets is left
+/// with several crashes.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
-    suspects: BTreeMap<Fingerprint, Suspect>,
+    suspects: BTreeMap<Subject, Suspect>,
+    cleared: ClearedParts,
 }
 
 impl Quarantine {
-    /// Returns how requests with `fingerprint` may run at `now`.
-    pub fn permission(&self, fingerprint: Fingerprint, now: Time) -> RunPermission {
-        match self.suspects.get(&fingerprint).filter(|s| s.ends > now) {
+    /// Returns how a request with this fingerprint may run at `now`, whatever its parts are.
+    pub fn permission(&self, request: Fingerprint, now: Time) -> RunPermission {
+        match self.restricted(request.into(), now) {
             None => RunPermission::Clear,
-            Some(s) if s.is_quarantined() => RunPermission::Quarantined,
+            Some(s) if s.is_quarantined(request.into()) => RunPermission::Quarantined,
             Some(_) => RunPermission::Isolate,
         }
     }
 
-    /// Records that a target crashed while it ran `fingerprint`; `true` if this changes the record.
+    /// Returns the quarantined ones among the parts.
+    pub fn quarantined_parts(&self, parts: &[PrefixHash], now: Time) -> SmallVec<[PrefixHash; 2]> {
+        let quarantined = |part: PrefixHash| {
+            self.restricted(part.into(), now).is_some_and(|s| s.is_quarantined(part.into()))
+        };
+        parts.iter().copied().filter(|part| quarantined(*part)).collect()
+    }
+
+    /// Takes the next trial of quarantined parts, if one is due at `now` for all of them. Of all
+    /// instances, one at a time may do so.
+    pub fn take_trial(&mut self, parts: &[PrefixHash], now: Time) -> bool {
+        let suspect = |part: &PrefixHash| self.suspects.get(&(*part).into());
+        if !parts.iter().all(|part| suspect(part).is_some_and(|s| s.trial_due(*part, now))) {
+            return false;
+        }
+        for part in parts {
+            if let Some(suspect) = self.suspects.get_mut(&(*part).into()) {
+                suspect.tried = Some(now);
+            }
+        }
+        true
+    }
+
+    fn restricted(&self, subject: Subject, now: Time) -> Option<&Suspect> {
+        self.suspects.get(&subject).filter(|s| s.ends > now)
+    }
+
+    /// Records that a target crashed while it ran `subject`; `true` if this changes the record.
     ///
     /// A crash counts once even if several instances report it, so their reports can be merged in
     /// any order.
-    pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: Time) -> bool {
-        self.record_past_crash(fingerprint, crash, Duration::ZERO, now)
+    pub fn record_crash(&mut self, subject: impl Into<Subject>, crash: Crash, now: Time) -> bool {
+        self.record_past_crash(subject, crash, Duration::ZERO, now)
     }
 
     /// Like [`record_crash`](Self::record_crash), for a crash that happened `age` ago. One that is
-    /// older than the retention is ignored.
+    /// older than the retention is ignored, and so is one of a part that is cleared.
     pub fn record_past_crash(
         &mut self,
-        fingerprint: Fingerprint,
+        subject: impl Into<Subject>,
         crash: Crash,
         age: Duration,
         now: Time,
     ) -> bool {
+        let subject = subject.into();
         let ends = now + SUSPECT_RETENTION.saturating_sub(age);
-        if ends <= now {
+        if ends <= now || self.is_cleared(subject, now) {
             return false;
         }
-        let fresh = || Suspect { crashes: SmallVec::new(), ends, found: false };
-        let suspect = self.suspects.entry(fingerprint).or_insert_with(fresh);
+        let fresh = || Suspect { crashes: SmallVec::new(), ends, found: false, tried: None };
+        let suspect = self.suspects.entry(subject).or_insert_with(fresh);
         if suspect.ends <= now {
             *suspect = fresh();
         }
-        if suspect.crashes.contains(&crash) || suspect.is_quarantined() {
+        if !suspect.is_new(subject, &crash, ends) {
             return false;
         }
-        suspect.crashes.push(crash);
+        suspect.crashes.push(CrashRecord { crash, ends });
         suspect.ends = suspect.ends.max(ends);
         self.trim();
         true
     }
 
-    /// Removes a fingerprint whose isolated run has completed: it ran on the target beside the
-    /// request that caused the crash. A quarantined fingerprint stays.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        let is_isolated = |s: &Suspect| !s.is_quarantined();
-        if self.suspects.get(&fingerprint).is_some_and(is_isolated) {
-            self.suspects.remove(&fingerprint);
+    /// Returns whether a target has completed an answer on a part lately.
+    pub fn is_cleared(&mut self, subject: Subject, now: Time) -> bool {
+        match subject {
+            Subject::Request(_) => false,
+            Subject::Part(part) => self.cleared.contains(part, now),
+        }
+    }
+
+    /// Records that a target has completed an answer on these parts; returns those that were blamed
+    /// for crashes until now.
+    pub fn clear_parts(&mut self, parts: &[PrefixHash], now: Time) -> SmallVec<[PrefixHash; 2]> {
+        parts.iter().for_each(|part| self.cleared.insert(*part, now));
+        let mut was_blamed = |part: &PrefixHash| self.suspects.remove(&(*part).into()).is_some();
+        parts.iter().copied().filter(|part| was_blamed(part)).collect()
+    }
+
+    /// Removes a request whose isolated run has completed: it ran on the target beside the request
+    /// that caused the crash. A quarantined one stays.
+    pub fn clear(&mut self, request: Fingerprint) {
+        let subject = Subject::Request(request);
+        if self.suspects.get(&subject).is_some_and(|s| !s.is_quarantined(subject)) {
+            self.suspects.remove(&subject);
         }
     }
 
-    /// Returns the quarantined fingerprints with their crashes and the time since the last one.
-    pub fn entries(&self, now: Time) -> impl Iterator<Item = (Fingerprint, &[Crash], Duration)> {
-        let held = move |s: &Suspect| s.is_quarantined() && s.ends > now;
-        let entries = self.suspects.iter().filter(move |(_, s)| held(s));
-        entries.map(move |(fingerprint, s)| (*fingerprint, s.crashes.as_slice(), s.age(now)))
+    /// Returns the crashes of the quarantined requests and parts, with the time since each.
+    pub fn crashes(&self, now: Time) -> impl Iterator<Item = (Subject, &Crash, Duration)> {
+        self.entries(now).flat_map(move |(subject, suspect)| {
+            suspect.crashes.iter().map(move |c| (subject, &c.crash, c.age(now)))
+        })
+    }
+
+    fn entries(&self, now: Time) -> impl Iterator<Item = (Subject, &Suspect)> {
+        let held = move |subject: Subject, s: &Suspect| s.is_quarantined(subject) && s.ends > now;
+        let entries = self.suspects.iter().filter(move |(subject, s)| held(**subject, s));
+        entries.map(|(subject, suspect)| (*subject, suspect))
     }
 
-    /// Returns the digest of the quarantined fingerprints; their crashes do not count, as two
+    /// Returns the digest of the quarantined requests and parts; their crashes do not count, as two
     /// instances may have recorded different ones.
     pub fn digest(&self, now: Time) -> QuarantineDigest {
-        let fingerprints = self.entries(now).map(|(fingerprint, _, _)| fingerprint.0);
-        QuarantineDigest(fingerprints.fold(0, |digest, fingerprint| digest ^ fingerprint))
+        let numbers = self.entries(now).map(|(subject, _)| subject.number());
+        QuarantineDigest(numbers.fold(0, |digest, number| digest ^ number))
     }
 
-    /// Marks a fingerprint as one of whose crashes this instance has found itself.
-    pub fn mark_found(&mut self, fingerprint: Fingerprint) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+    /// Marks a request or part as one of whose crashes this instance has found itself.
+    pub fn mark_found(&mut self, subject: Subject) {
+        if let Some(suspect) = self.suspects.get_mut(&subject) {
             suspect.found = true;
         }
     }
 
-    /// Returns whether a fingerprint is quarantined and this instance found one of its crashes. A
-    /// few instances at most do so; they store the quarantine for all.
-    pub fn is_found(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(|s| s.found && s.is_quarantined())
+    /// Returns whether this instance found one of the crashes for which the subject is tracked.
+    pub fn was_found(&self, subject: Subject) -> bool {
+        self.suspects.get(&subject).is_some_and(|s| s.found)
+    }
+
+    /// Returns whether a request or part is quarantined and this instance found one of its crashes.
+    /// A few instances at most do so; they store the quarantine for all.
+    pub fn is_found(&self, subject: Subject) -> bool {
+        self.suspects.get(&subject).is_some_and(|s| s.found && s.is_quarantined(subject))
     }
 
     /// Returns the targets that suspects have crashed within the last 30 seconds.
     pub fn recently_crashed(&self, now: Time) -> BTreeSet<EngineId> {
         let recent = self.suspects.values().filter(|s| s.age(now) < CRASHED_TARGET_REST);
-        recent.flat_map(|s| s.crashes.iter().map(|c| c.engine.clone())).collect()
+        recent.flat_map(|s| s.crashes.iter().map(|c| c.crash.engine.clone())).collect()
     }
 
-    /// Returns the number of quarantined fingerprints.
+    /// Returns the number of quarantined requests and parts.
     pub fn quarantined(&self) -> usize {
-        self.suspects.values().filter(|s| s.is_quarantined()).count()
+        self.suspects.iter().filter(|(subject, s)| s.is_quarantined(**subject)).count()
+    }
+
+    /// Returns the number of quarantined parts.
+    pub fn quarantined_part_count(&self) -> usize {
+        let parts = self.suspects.range(Subject::Part(PrefixHash(0))..);
+        parts.filter(|(subject, s)| s.is_quarantined(**subject)).count()
     }
 
-    /// Returns the number of tracked fingerprints, isolated and quarantined.
+    /// Returns the number of tracked requests and parts, suspected and quarantined.
     pub fn len(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Returns whether no fingerprint is tracked.
+    /// Returns whether nothing is tracked.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
@@ -188,10 +299,10 @@
         if self.suspects.len() <= MAX_SUSPECTS {
             return;
         }
-        let rank = |s: &Suspect| (s.is_quarantined(), s.ends);
-        let oldest = self.suspects.iter().min_by_key(|(_, s)| rank(s)).map(|(p, _)| *p);
-        if let Some(fingerprint) = oldest {
-            self.suspects.remove(&fingerprint);
+        let rank = |subject: &Subject, s: &Suspect| (s.is_quarantined(*subject), s.ends);
+        let oldest = self.suspects.iter().min_by_key(|(subject, s)| rank(subject, s));
+        if let Some(subject) = oldest.map(|(subject, _)| *subject) {
+            self.suspects.remove(&subject);
         }
     }
 }
--- a/core/src/poison/tests.rs
+++ b/core/src/poison/tests.rs
@@ -2,8 +2,9 @@
     super::*,
     crate::{
         clock::Time,
-        ids::{EngineId, Fingerprint, Incarnation},
+        ids::{EngineId, Fingerprint, Incarnation, PrefixHash},
     },
+    std::time::Duration,
 };
 
 const FINGERPRINT: Fingerprint = Fingerprint(1);
@@ -125,3 +126,95 @@
         assert_eq!(quarantine.permission(FINGERPRINT, start), RunPermission::Quarantined);
     }
 }
+
+const PART: PrefixHash = PrefixHash(9);
+
+fn is_quarantined(quarantine: &Quarantine, now: Time) -> bool {
+    !quarantine.quarantined_parts(&[PrefixHash(1), PART], now).is_empty()
+}
+
+/// A quarantine in which [`PART`] has crashed as many engines, the last of them at `now`.
+fn crashed_by_part(count: u64, now: Time) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for boot in 0..count {
+        let age = Duration::from_secs(count - 1 - boot);
+        quarantine.record_past_crash(PART, crash("a", boot), age, now);
+    }
+    quarantine
+}
+
+#[test]
+fn crashes_at_the_same_moment_count_once_for_a_part() {
+    let at = Time::from_millis;
+    let mut quarantine = Quarantine::default();
+    for wave in 0..3 {
+        assert!(!is_quarantined(&quarantine, at(wave * 200)));
+        for boot in 0..8 {
+            quarantine.record_crash(PART, crash("a", wave * 10 + boot), at(wave * 200 + boot * 10));
+        }
+    }
+    assert!(is_quarantined(&quarantine, at(600)));
+}
+
+#[test]
+fn third_crash_quarantines_a_part() {
+    let now = Time::ZERO;
+    assert!(!is_quarantined(&crashed_by_part(2, now), now));
+    let quarantine = crashed_by_part(3, now);
+    assert!(is_quarantined(&quarantine, now));
+    assert!(!is_quarantined(&quarantine, now + SUSPECT_RETENTION));
+    assert_eq!(quarantine.permission(Fingerprint(PART.0), now), RunPermission::Clear);
+}
+
+#[test]
+fn answer_on_a_part_clears_it_of_crashes_before_and_soon_after() {
+    let at = Time::from_millis;
+    let mut quarantine = crashed_by_part(3, at(0));
+    assert_eq!(quarantine.clear_parts(&[PrefixHash(1), PART], at(10))[..], [PART]);
+    assert!(!is_quarantined(&quarantine, at(10)));
+    for boot in 0..6 {
+        assert!(!quarantine.record_crash(PART, crash("b", boot), at(20_000)));
+    }
+    assert!(quarantine.clear_parts(&[PART], at(20_000)).is_empty());
+    // A part may begin to crash targets after a change of their software.
+    for boot in 0..3 {
+        let now = at(100_000 + boot * 500);
+        assert!(quarantine.record_crash(PART, crash("b", boot), now));
+    }
+    assert!(is_quarantined(&quarantine, at(101_000)));
+}
+
+#[test]
+fn quarantined_part_is_tried_three_times_in_its_retention() {
+    let mut quarantine = crashed_by_part(3, Time::ZERO);
+    let mut trials = Vec::new();
+    for second in 0..SUSPECT_RETENTION.as_secs() {
+        let now = Time::from_millis(second * 1_000);
+        if quarantine.take_trial(&[PART], now) {
+            trials.push(second);
+            assert!(!quarantine.take_trial(&[PART], now), "one at a time");
+            quarantine.record_crash(PART, crash("t", second), now);
+        }
+    }
+    assert_eq!(trials, [15, 75, 315]);
+}
+
+#[test]
+fn trial_without_a_result_is_repeated_later() {
+    let at = Time::from_millis;
+    let mut quarantine = crashed_by_part(3, at(0));
+    assert!(quarantine.take_trial(&[PART], at(15_000)));
+    assert!(!quarantine.take_trial(&[PART], at(44_999)));
+    assert!(quarantine.take_trial(&[PART], at(45_000)));
+    assert!(!quarantine.take_trial(&[PrefixHash(1)], at(45_000)), "a part without crashes");
+}
+
+#[test]
+fn number_of_cleared_parts_is_bounded() {
+    let mut cleared = ClearedParts::default();
+    (0..20_000).for_each(|part| cleared.insert(PrefixHash(part), Time::ZERO));
+    let held = (0..20_000).filter(|part| cleared.contains(PrefixHash(*part), Time::ZERO)).count();
+    assert!((4_096..=8_192).contains(&held), "{held}");
+    assert!(cleared.contains(PrefixHash(19_999), Time::from_millis(29_999)));
+    assert!(!cleared.contains(PrefixHash(19_999), Time::from_millis(61_000)));
+}
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -3,7 +3,7 @@
 
 use {
     lentil_core::{
-        ids::{Fingerprint, Incarnation, Revision},
+        ids::{Fingerprint, Incarnation, PrefixHash, Revision},
         mesh::Update,
         poison::{Crash, RunPermission, SUSPECT_RETENTION},
     },
@@ -12,7 +12,10 @@
         deployment::{eventually, Deployment, DeploymentSetup, Instance, CAMERA_KEY},
         engine::{expected_answer, EngineSetup, POISON},
     },
-    lentil_node::{app::App, mesh::report_crash},
+    lentil_node::{
+        app::App,
+        mesh::{clear_parts, report_crash, Told},
+    },
     std::{
         net::SocketAddr,
         sync::{
@@ -197,10 +200,51 @@
     wait_acquainted(&apps).await;
     let [first, second] =
         ["e0", "e1"].map(|engine| Crash { engine: engine.parse().unwrap(), boot: Incarnation(1) });
-    tokio::join!(
-        report_crash(&apps[0], Fingerprint(7), first),
-        report_crash(&apps[1], Fingerprint(7), second),
-    );
+    let request = [Fingerprint(7).into()];
+    tokio::join!(report_crash(&apps[0], &request, first), report_crash(&apps[1], &request, second),);
     let stored = || deployment.kv.value("quarantine").is_some();
     eventually("the quarantine is stored", stored).await;
 }
+
+/// Crash of an engine, number `boot` of several.
+fn crash(boot: u64) -> Crash {
+    Crash { engine: "e0".parse().unwrap(), boot: Incarnation(boot) }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_on_a_quarantined_part_lifts_its_quarantine_everywhere() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
+    wait_acquainted(&apps).await;
+    let part = PrefixHash(7);
+    for boot in 0..3 {
+        report_crash(&apps[0], &[part.into()], crash(boot)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let known = || apps.iter().all(|a| a.quarantine().quarantined() == 1);
+    eventually("both instances know", known).await;
+    let stored = || deployment.kv.value("quarantine").is_some_and(|v| v.contains("\"part\":true"));
+    eventually("the quarantine is stored", stored).await;
+    clear_parts(&apps[1], &[part], Told::ByTarget);
+    let lifted = || apps.iter().all(|a| a.quarantine().is_empty());
+    eventually("it is lifted at both", lifted).await;
+    let removed = || deployment.kv.value("quarantine").is_some_and(|v| v == "[]");
+    eventually("it is removed from the store", removed).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn part_answered_at_one_instance_is_not_blamed_by_another() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
+    wait_acquainted(&apps).await;
+    let part = PrefixHash(7);
+    clear_parts(&apps[1], &[part], Told::ByTarget);
+    report_crash(&apps[0], &[part.into()], crash(1)).await;
+    let cleared = || apps.iter().all(|a| a.quarantine().is_empty());
+    eventually("the part is cleared at the instance that blamed it", cleared).await;
+    assert!(apps[0].quarantine().is_cleared(part.into(), apps[0].now()));
+}
--- a/node/src/app/send_gate.rs
+++ b/node/src/app/send_gate.rs
@@ -2,9 +2,12 @@
     super::App,
     crate::ports::Target,
     lentil_core::{
+        clock::Time,
         gate::{Denial, SendIntent, SendKind},
-        ids::{EngineId, Fingerprint, SoftwareVersion},
+        ids::{EngineId, Fingerprint, PrefixHash, SoftwareVersion},
+        poison::RunPermission,
     },
+    smallvec::SmallVec,
     std::sync::Arc,
 };
 
@@ -26,6 +29,8 @@
     pub permit: bool,
     /// Identifies the request in the quarantine.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt that may not be quarantined either.
+    pub parts: SmallVec<[PrefixHash; 16]>,
 }
 
 impl SendGate {
@@ -41,7 +46,7 @@
             boot: self.target.boot,
             software: self.software.as_ref(),
             permit: self.permit,
-            permission: app.quarantine().permission(self.fingerprint, now),
+            permission: self.permission(now),
         };
         let result = {
             let fleet = app.fleet();
@@ -50,6 +55,14 @@
         };
         result.inspect_err(|denial| app.record_denial(self.kind, &self.id, &self.target, *denial))
     }
+
+    fn permission(&self, now: Time) -> RunPermission {
+        let quarantine = self.app.quarantine();
+        match quarantine.quarantined_parts(&self.parts, now).is_empty() {
+            true => quarantine.permission(self.fingerprint, now),
+            false => RunPermission::Quarantined,
+        }
+    }
 }
 
 impl App {
--- a/node/src/follow/quarantine.rs
+++ b/node/src/follow/quarantine.rs
@@ -4,9 +4,9 @@
         ports::{StoreEntry, StoreError},
     },
     lentil_core::{
-        ids::{Fingerprint, Millis, Revision},
+        ids::{Fingerprint, Millis, PrefixHash, Revision},
         limit::Backoff,
-        poison::{Crash, Quarantine},
+        poison::{Crash, Quarantine, Subject},
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -22,15 +22,33 @@
 /// Longest pause between failed calls to the store.
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
 
-/// A crash by which a request is in quarantine, as it is stored.
+/// A crash by which a request or a part of prompts is in quarantine, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct StoredCrash {
+    /// Number of the request or part.
     fingerprint: Fingerprint,
+    /// Whether it is a part of prompts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    part: bool,
     crash: Crash,
-    /// Unix time at which the request last crashed a target.
+    /// Unix time of the crash.
     at: Millis,
 }
 
+impl StoredCrash {
+    fn new(subject: Subject, crash: Crash, at: Millis) -> Self {
+        let part = matches!(subject, Subject::Part(_));
+        Self { fingerprint: Fingerprint(subject.number()), part, crash, at }
+    }
+
+    fn subject(&self) -> Subject {
+        match self.part {
+            true => PrefixHash(self.fingerprint.0).into(),
+            false => self.fingerprint.into(),
+        }
+    }
+}
+
 /// Reads the stored quarantine once, then stores it each time that this instance has found a
 /// request to quarantine; never returns.
 pub async fn persist_quarantine(app: Arc<App>) {
@@ -44,7 +62,7 @@
     }
 }
 
-/// Adds the stored quarantine to the own one, and stores the result if it has more requests.
+/// Adds the stored quarantine to the own one, and stores the result if it has others.
 async fn merge_and_store(app: &App) -> Result<(), StoreError> {
     let entry = app.ports.store.read(QUARANTINE_KEY).await?;
     let stored = entry.as_ref().map(stored_crashes).unwrap_or_default();
@@ -54,20 +72,20 @@
         let mut known = Quarantine::default();
         for stored in &stored {
             let age = Duration::from_millis(unix.0.saturating_sub(stored.at.0));
-            let (request, crash) = (stored.fingerprint, &stored.crash);
-            known.record_past_crash(request, crash.clone(), age, now);
-            if quarantine.record_past_crash(request, crash.clone(), age, now) {
-                log::info!("poison: target={} verdict=stored request={request}", crash.engine);
+            let (subject, crash) = (stored.subject(), &stored.crash);
+            known.record_past_crash(subject, crash.clone(), age, now);
+            if quarantine.record_past_crash(subject, crash.clone(), age, now) {
+                log::info!("poison: target={} verdict=stored {subject}", crash.engine);
             }
         }
         if quarantine.digest(now) == known.digest(now) {
             return Ok(());
         }
         let mut crashes: Vec<StoredCrash> = quarantine
-            .entries(now)
-            .flat_map(|(fingerprint, crashes, age)| {
+            .crashes(now)
+            .map(|(subject, crash, age)| {
                 let at = Millis(unix.0.saturating_sub(age.as_millis() as u64));
-                crashes.iter().map(move |c| StoredCrash { fingerprint, crash: c.clone(), at })
+                StoredCrash::new(subject, crash.clone(), at)
             })
             .collect();
         crashes.sort_by_key(|c| std::cmp::Reverse((c.at, c.fingerprint)));
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -1,6 +1,9 @@
 use {
     super::{
-        crash_news::{pull_quarantine, quarantine_notes, record_reported_crash},
+        crash_news::{
+            clear_parts, pull_quarantine, quarantine_notes, record_crashes, record_reported_crash,
+            Told,
+        },
         heartbeat::send_heartbeat,
         limits::{answer_permit_request, record_limits},
         send_datagram,
@@ -55,9 +58,9 @@
             app.relayed_targets.send_replace(Arc::new(batches));
         }
         Message::Crashes(notes) => {
-            let now = app.now();
-            notes.iter().for_each(|note| record_reported_crash(app, note, now));
+            record_crashes(app, address, Some(envelope.from.instance), &notes).await;
         }
+        Message::ClearedParts(parts) => clear_parts(app, &parts, Told::ByInstance),
         Message::QuarantineDigest(digest) => pull_quarantine(app, address, digest),
         Message::Limits(notes) => record_limits(app, &envelope.from.instance, &notes),
         Message::StreamOrigins(notes) => record_stream_origins(app, notes),
@@ -103,9 +106,9 @@
             app.member_view().apply(info, *state, now);
             false
         }
-        Update::Crashed { fingerprint, crash } => {
-            let (fingerprint, crash) = (*fingerprint, crash.clone());
-            record_reported_crash(app, &CrashNote { fingerprint, crash, age: Millis(0) }, now);
+        Update::Crashed { subject, crash } => {
+            let (subject, crash) = (*subject, crash.clone());
+            record_reported_crash(app, &CrashNote { subject, crash, age: Millis(0) }, now);
             false
         }
         Update::Leaving { engine, boot } => {
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -53,8 +53,10 @@
     pub revision: IntGauge,
     /// Request fingerprints that crashed targets.
     pub suspects: IntGauge,
-    /// Request fingerprints in quarantine.
+    /// Requests and parts of prompts in quarantine.
     pub quarantined: IntGauge,
+    /// Parts of prompts in quarantine.
+    pub quarantined_parts: IntGauge,
     /// Investigations of targets that lost an answer, by verdict.
     pub crash_checks: IntCounterVec,
     /// Updates for other instances that were dropped because too many were waiting.
@@ -172,6 +174,10 @@
             revision: gauge("lentil_manifest_revision", "Revision of the manifest in force"),
             suspects: gauge("lentil_suspects", "Fingerprints that crashed targets"),
             quarantined: gauge("lentil_quarantined", "Fingerprints that no target may run"),
+            quarantined_parts: gauge(
+                "lentil_quarantined_parts",
+                "Parts of prompts that no target may run",
+            ),
             crash_checks: counters(
                 "lentil_crash_checks_total",
                 "Investigations of targets that lost an answer",
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -75,10 +75,11 @@
     app.metrics.resends_left.set(app.admission().resends_left(size, now));
     app.metrics.resident_bytes.set(resident_bytes());
     app.metrics.members.set(members as i64);
-    let (suspects, quarantined) = {
+    let (suspects, quarantined, parts) = {
         let quarantine = app.quarantine();
-        (quarantine.len(), quarantine.quarantined())
+        (quarantine.len(), quarantine.quarantined(), quarantine.quarantined_part_count())
     };
+    app.metrics.quarantined_parts.set(parts as i64);
     app.metrics.suspects.set(suspects as i64);
     app.metrics.quarantined.set(quarantined as i64);
     app.metrics.dropped_updates.set(dropped as i64);
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -150,6 +150,7 @@
             source: source.map(|s| s.id.clone()),
             permit,
             fingerprint: request.fingerprint,
+            parts: if self.task.trial { &[] } else { request.shared_parts() }.into(),
         }
     }
 
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -6,10 +6,10 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, PrefixProgress},
-        ids::Tokens,
+        ids::{PrefixHash, Tokens},
         manifest::EngineSpec,
         plan,
-        poison::RunPermission,
+        poison::{RunPermission, Subject},
         route::{choose, shared_prefix, Pick, RoutingOrigin, RoutingRequest},
     },
 };
@@ -47,14 +47,34 @@
     ///
     /// # Errors
     /// [`ErrorKind::Quarantined`] if it may not run at all.
-    pub(super) fn run_permission(&self, now: Time) -> Result<RunPermission, Fault> {
-        match self.app.quarantine().permission(self.request.fingerprint, now) {
-            RunPermission::Quarantined => {
-                let text = "the request has crashed two targets";
-                Err(Fault::new(ErrorKind::Quarantined, text))
-            }
-            permission => Ok(permission),
+    pub(super) fn run_permission(&mut self, now: Time) -> Result<RunPermission, Fault> {
+        let refused = |text: &str| Err(Fault::new(ErrorKind::Quarantined, text));
+        let permission = self.app.quarantine().permission(self.request.fingerprint, now);
+        if permission == RunPermission::Quarantined {
+            return refused("the request has crashed two targets");
+        }
+        let parts = self.app.quarantine().quarantined_parts(self.request.shared_parts(), now);
+        self.trial = !parts.is_empty() && self.take_trials(&parts, now);
+        if !parts.is_empty() && !self.trial {
+            return refused("a part of the prompt has crashed several targets");
+        }
+        Ok(permission)
+    }
+
+    /// Takes the trials of quarantined parts, if all of them are due and this instance is the one
+    /// that tries them.
+    fn take_trials(&self, parts: &[PrefixHash], now: Time) -> bool {
+        let region = &self.app.settings.region;
+        let own = |part: &PrefixHash| {
+            let duty = Subject::Part(*part).to_string();
+            self.app.member_view().rank_for(&duty, region) == 0
+        };
+        let taken = parts.iter().all(own) && self.app.quarantine().take_trial(parts, now);
+        if taken {
+            let id = self.request.proxied.as_ref().map_or("-", |p| p.request.id.as_str());
+            log::info!("poison: run: id={id} tries quarantined {}", Subject::Part(parts[0]));
         }
+        taken
     }
 
     /// Chooses engines and records what will be sent to them, under the locks of the shared tables.
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -2,7 +2,7 @@
     super::task::Task,
     crate::{
         app::App,
-        mesh::report_crash,
+        mesh::{clear_parts, report_crash, Told},
         ports::{EngineError, Target},
     },
     futures_util::{
@@ -11,8 +11,8 @@
     },
     lentil_core::{
         clock::Time,
-        ids::{EngineId, Fingerprint, Incarnation},
-        poison::{Crash, Verdict},
+        ids::{EngineId, Incarnation},
+        poison::{Crash, Subject, Verdict},
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -64,7 +64,7 @@
         if !suspicious {
             return;
         }
-        let investigation = investigate(self.app.clone(), self.request.fingerprint, target.clone());
+        let investigation = investigate(self.app.clone(), self.subjects(), target.clone());
         if proxied {
             // In the background, so that the request can be retried on another target at once.
             tokio::spawn(investigation);
@@ -87,11 +87,25 @@
         let Some((target, _)) = &self.running_at else { return };
         if self.is_silent(target) {
             let (app, target) = (self.app.clone(), target.clone());
-            tokio::spawn(investigate(app, self.request.fingerprint, target));
+            tokio::spawn(investigate(app, self.subjects(), target));
         }
         self.running_at = None;
     }
 
+    /// Returns the request and the parts of its prompt, to which a crash may be due.
+    fn subjects(&self) -> Vec<Subject> {
+        let parts = self.request.shared_parts().iter().copied().map(Subject::from);
+        [self.request.fingerprint.into()].into_iter().chain(parts).collect()
+    }
+
+    /// Clears the parts of the prompt of all blame: a target has completed an answer on them.
+    pub(super) fn clear_parts(&self) {
+        let parts = self.request.shared_parts();
+        if !parts.is_empty() {
+            clear_parts(&self.app, parts, Told::ByTarget);
+        }
+    }
+
     /// Returns whether a target has sent neither a piece of this answer nor another answer for
     /// [`MIN_SILENCE`].
     fn is_silent(&self, target: &Target) -> bool {
@@ -103,23 +117,24 @@
 }
 
 /// Finds out whether a target that lost an answer has crashed, and reports the crash if so.
-async fn investigate(app: Arc<App>, fingerprint: Fingerprint, target: Target) {
+async fn investigate(app: Arc<App>, subjects: Vec<Subject>, target: Target) {
     let began = app.now();
     let verdict = join_investigation(&app, &target).await;
     let now = app.now();
     let others_answer =
         app.fleet().engines.iter().any(|e| e.id != target.id && e.last_answer > began);
     log::info!(
-        "poison: target={} verdict={} others_answer={others_answer} request={fingerprint} ms={}",
+        "poison: target={} verdict={} others_answer={others_answer} {} ms={}",
         target.id,
         verdict.label(),
+        subjects[0],
         (now - began).as_millis()
     );
     if !verdict.is_crash(others_answer) {
         return;
     }
     app.record_target_failure(&target, false, "it has crashed");
-    report_crash(&app, fingerprint, Crash { engine: target.id, boot: target.boot }).await;
+    report_crash(&app, &subjects, Crash { engine: target.id, boot: target.boot }).await;
 }
 
 /// Starts an investigation of the target, or joins the one in progress.
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -96,6 +96,7 @@
         self.app.metrics.record_end(service, class, if good { "whole" } else { "failure" }, missed);
         if good {
             self.app.quarantine().clear(request.fingerprint);
+            self.clear_parts();
         }
         // Requests without a prompt are plain ones: their duration is a slot's service time.
         if request.routing.prompt.0 == 0 && good {
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -2,7 +2,7 @@
     crate::ports::ProxyRequest,
     lentil_core::{
         clock::Time,
-        ids::{CallerId, Fingerprint, Revision, WorkspaceId},
+        ids::{CallerId, Fingerprint, PrefixHash, Revision, WorkspaceId},
         manifest::ClassName,
         route::RoutingRequest,
         routes::Route,
@@ -35,6 +35,17 @@
     pub proxied: Option<Proxied>,
 }
 
+/// Most parts of a prompt that are looked at when a target has crashed.
+const MAX_SHARED_PARTS: usize = 16;
+
+impl RunRequest {
+    /// Returns the parts of the prompt that other requests may have too: all but the last one.
+    pub fn shared_parts(&self) -> &[PrefixHash] {
+        let parts = self.routing.blocks.split_last().map_or(&[][..], |(_, shared)| shared);
+        &parts[..parts.len().min(MAX_SHARED_PARTS)]
+    }
+}
+
 /// An HTTP request that is forwarded to a target unchanged.
 #[derive(Debug, Clone)]
 pub struct Proxied {
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -34,6 +34,8 @@
     pub(super) maybe_ran: bool,
     /// Engine reserved for this request while it is a crash suspect.
     pub(super) isolated: Option<EngineId>,
+    /// Whether the latest attempt tries a quarantined part of the prompt.
+    pub(super) trial: bool,
     /// Since when no engine for suspects of this instance accepts work.
     pub(super) closed_since: Option<Time>,
     /// Target that has the request in work, and when it was sent there.
@@ -68,6 +70,7 @@
             first_token: None,
             maybe_ran: false,
             isolated: None,
+            trial: false,
             closed_since: None,
             running_at: None,
             runs_sent: 0,
@@ -156,6 +159,7 @@
         let (app, request) = (&self.app, &self.request);
         let now = app.now();
         app.quarantine().clear(request.fingerprint);
+        self.clear_parts();
         let length = Tokens(self.sent_tokens.len() as u64);
         app.admission().record_output(&request.routing.model, length);
         let class = &request.routing.class;
