--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -14,7 +14,7 @@
     },
     lentil_node::{
         app::App,
-        mesh::{clear_parts, report_crash, Told},
+        mesh::{clear_parts, report_crash, ReportedBy},
     },
     std::{
         net::SocketAddr,
@@ -227,7 +227,7 @@
     eventually("both instances know", known).await;
     let stored = || deployment.kv.value("quarantine").is_some_and(|v| v.contains("\"part\":true"));
     eventually("the quarantine is stored", stored).await;
-    clear_parts(&apps[1], &[part], Told::ByTarget);
+    clear_parts(&apps[1], &[part], ReportedBy::Target);
     let lifted = || apps.iter().all(|a| a.quarantine().is_empty());
     eventually("it is lifted at both", lifted).await;
     let removed = || deployment.kv.value("quarantine").is_some_and(|v| v == "[]");
@@ -242,7 +242,7 @@
     let apps: Vec<_> = instances.iter().map(|i| i.app.clone()).collect();
     wait_acquainted(&apps).await;
     let part = PrefixHash(7);
-    clear_parts(&apps[1], &[part], Told::ByTarget);
+    clear_parts(&apps[1], &[part], ReportedBy::Target);
     report_crash(&apps[0], &[part.into()], crash(1)).await;
     let cleared = || apps.iter().all(|a| a.quarantine().is_empty());
     eventually("the part is cleared at the instance that blamed it", cleared).await;
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -64,18 +64,18 @@
     }
 }
 
-/// Who says that a target has completed an answer on parts of prompts.
+/// Where the news of a completed answer on parts of prompts comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Told {
+pub enum ReportedBy {
     /// A target, to this instance.
-    ByTarget,
+    Target,
     /// Another instance.
-    ByInstance,
+    Instance,
 }
 
 /// Clears parts of blame for crashes. All instances learn of it from the one that a target has told,
 /// or that had found the crashes.
-pub fn clear_parts(app: &Arc<App>, parts: &[PrefixHash], told: Told) {
+pub fn clear_parts(app: &Arc<App>, parts: &[PrefixHash], reported: ReportedBy) {
     let mut news = Vec::new();
     {
         let now = app.now();
@@ -85,7 +85,7 @@
             parts.iter().copied().filter(|p| quarantine.was_found((*p).into())).collect();
         for part in quarantine.clear_parts(parts, now) {
             log::info!("poison: {} cleared, a target has answered", Subject::Part(part));
-            if told == Told::ByTarget || found.contains(&part) {
+            if reported == ReportedBy::Target || found.contains(&part) {
                 news.push(part);
             }
         }
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -2,7 +2,7 @@
     super::{
         crash_news::{
             clear_parts, pull_quarantine, quarantine_notes, record_crashes, record_reported_crash,
-            Told,
+            ReportedBy,
         },
         heartbeat::send_heartbeat,
         limits::{answer_permit_request, record_limits},
@@ -60,7 +60,7 @@
         Message::Crashes(notes) => {
             record_crashes(app, address, Some(envelope.from.instance), &notes).await;
         }
-        Message::ClearedParts(parts) => clear_parts(app, &parts, Told::ByInstance),
+        Message::ClearedParts(parts) => clear_parts(app, &parts, ReportedBy::Instance),
         Message::QuarantineDigest(digest) => pull_quarantine(app, address, digest),
         Message::Limits(notes) => record_limits(app, &envelope.from.instance, &notes),
         Message::StreamOrigins(notes) => record_stream_origins(app, notes),
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -16,7 +16,7 @@
 use {ask::ask, send::broadcast};
 pub use {
     ask::Questions,
-    crash_news::{clear_parts, report_crash, Told},
+    crash_news::{clear_parts, report_crash, ReportedBy},
     frame_codec::FrameCodec,
     heartbeat::{announce_leave, contact, send_heartbeats},
     in_flight::report_in_flight,
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -2,7 +2,7 @@
     super::task::Task,
     crate::{
         app::App,
-        mesh::{clear_parts, report_crash, Told},
+        mesh::{clear_parts, report_crash, ReportedBy},
         ports::{EngineError, Target},
     },
     futures_util::{
@@ -102,7 +102,7 @@
     pub(super) fn clear_parts(&self) {
         let parts = self.request.shared_parts();
         if !parts.is_empty() {
-            clear_parts(&self.app, parts, Told::ByTarget);
+            clear_parts(&self.app, parts, ReportedBy::Target);
         }
     }
 
