--- a/daemon/tests/fault_injection/callers.rs
+++ b/daemon/tests/fault_injection/callers.rs
@@ -1,5 +1,7 @@
 use {
-    crate::platform::{event, request, split_software, Caller, Message, POISON, STREAM_EVENTS},
+    crate::platform::{
+        event, request, split_software, Caller, Message, POISON, STREAM_EVENTS, TAINTED_PART,
+    },
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::{
         net::SocketAddr,
@@ -69,8 +71,11 @@
             let task = run_caller(i, rng, addresses.clone(), history, callers.stopping.clone());
             callers.tasks.spawn(task);
         }
-        let rng = StdRng::seed_from_u64(seed * 1_000 + CALLERS);
-        callers.tasks.spawn(send_poison(rng, addresses, callers.stopping.clone()));
+        for (i, kind) in (0..).zip([Harm::Request, Harm::Part]) {
+            let rng = StdRng::seed_from_u64(seed * 1_000 + CALLERS + i);
+            let stopping = callers.stopping.clone();
+            callers.tasks.spawn(send_harmful(kind, rng, addresses.clone(), stopping));
+        }
         callers
     }
 
@@ -143,16 +148,42 @@
     }
 }
 
-/// Sends the same request, which crashes each target that runs it, to random instances until
-/// `stopping` is set.
-async fn send_poison(mut rng: StdRng, addresses: Vec<SocketAddr>, stopping: Arc<AtomicBool>) {
+/// What crashes the targets that run it.
+#[derive(Clone, Copy)]
+enum Harm {
+    /// A request that is the same each time.
+    Request,
+    /// A part of the prompts of requests that are all different.
+    Part,
+}
+
+impl Harm {
+    fn request(self, count: u64) -> String {
+        match self {
+            Self::Request => request("POST", "/safe/a", &format!("poison{count}"), "", POISON),
+            Self::Part => {
+                let parts = format!("Prompt-Prefix: a:100,{TAINTED_PART}:100,f{count:x}:10\r\n");
+                let path = format!("/firm/{count}");
+                request("POST", &path, &format!("tainted{count}"), &parts, TAINTED_PART)
+            }
+        }
+    }
+}
+
+/// Sends harmful requests to random instances until `stopping` is set.
+async fn send_harmful(
+    kind: Harm,
+    mut rng: StdRng,
+    addresses: Vec<SocketAddr>,
+    stopping: Arc<AtomicBool>,
+) {
     for count in 0_u64.. {
         if stopping.load(Ordering::Relaxed) {
             return;
         }
         let address = addresses[rng.gen_range(0..addresses.len())];
         if let Ok(stream) = TcpStream::connect(address).await {
-            let text = request("POST", "/safe/a", &format!("poison{count}"), "", POISON);
+            let text = kind.request(count);
             let mut caller = Caller::from(stream);
             if caller.stream.write_all(text.as_bytes()).await.is_ok() {
                 // The caller does not wait for the answer of a paused instance.
--- a/daemon/tests/fault_injection/check.rs
+++ b/daemon/tests/fault_injection/check.rs
@@ -1,6 +1,6 @@
 use {
     super::callers::{Exchange, RouteKind},
-    crate::platform::{event, split_software, Message, POISON, STREAM_EVENTS},
+    crate::platform::{event, split_software, Message, POISON, STREAM_EVENTS, TAINTED_PART},
     std::{
         collections::{BTreeSet, HashMap},
         time::{Duration, Instant},
@@ -52,6 +52,16 @@
     })
 }
 
+/// Returns a violation if requests that share a part which crashes targets were sent to them for too
+/// long; `taintings` says when they reached targets, in order.
+pub fn check_tainted(taintings: &[Instant]) -> Option<String> {
+    let fifth = *taintings.get(4)?;
+    let late = taintings.iter().filter(|t| **t > fifth + STABLE_WINDOW).count();
+    (late > MAX_LATE_RESENDS).then(|| {
+        format!("{late} late requests of {} with a part that crashes targets", taintings.len())
+    })
+}
+
 /// Returns a violation if a target that announces `limit` since `announced` got far more requests.
 pub fn check_limit(arrivals: &[Instant], limit: f64, announced: Instant) -> Option<String> {
     let due: Vec<Instant> =
@@ -84,7 +94,7 @@
         violations.extend(check_exchange(exchange, run_count));
     }
     let known: std::collections::HashSet<&str> = history.iter().map(|e| e.id.as_str()).collect();
-    for run in runs.iter().filter(|run| run.text() != POISON) {
+    for run in runs.iter().filter(|run| ![POISON, TAINTED_PART].contains(&run.text().as_str())) {
         let id = run.header("request-id").unwrap_or("");
         if !known.contains(id) || run.text() != id {
             violations.push(format!(
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -215,6 +215,13 @@
         times
     }
 
+    /// When requests with the part of a prompt that crashes targets reached them, in order.
+    pub fn taintings(&self) -> Vec<Instant> {
+        let mut times: Vec<Instant> = self.targets.iter().flat_map(Runner::taintings).collect();
+        times.sort_unstable();
+        times
+    }
+
     /// Folder with the settings and logs of the instances.
     pub fn folder(&self) -> &PathBuf {
         &self.folder
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -71,6 +71,8 @@
     let poisonings = fleet.poisonings();
     let mut found = check::check(&history, &runs, recovered);
     found.extend(check::check_poison(&poisonings));
+    let taintings = fleet.taintings();
+    found.extend(check::check_tainted(&taintings));
     let limited = fleet.targets[1].arrivals();
     found.extend(check::check_limit(&limited, limit, announced));
     let leaving: Vec<usize> =
@@ -85,11 +87,12 @@
     let resumed: Vec<_> = history.iter().filter(|e| e.resumes.is_some()).collect();
     let went_on = resumed.iter().filter(|e| check::is_served(e)).count();
     println!(
-        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} limited={} limit={limit} left={} resumed={} went_on={went_on}",
+        "soak: seed={seed} requests={} served={served} runs={} faults={} poison_runs={} tainted_runs={} limited={} limit={limit} left={} resumed={} went_on={went_on}",
         history.len(),
         runs.len(),
         faults.len(),
         poisonings.len(),
+        taintings.len(),
         limited.len(),
         leaving.len(),
         resumed.len()
