--- a/daemon/tests/fault_injection/fault_plan.rs
+++ b/daemon/tests/fault_injection/fault_plan.rs
@@ -1,6 +1,6 @@
 use {
-    super::{fleet::Fleet, proxy::Mode},
-    crate::platform::Behavior,
+    super::fleet::Fleet,
+    crate::platform::{Behavior, Mode},
     nix::sys::signal::Signal,
     rand::{rngs::StdRng, Rng, SeedableRng},
     std::time::Duration,
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -1,6 +1,5 @@
 use {
-    super::proxy::{Mode, Proxy},
-    crate::platform::{config, Message, Runner, Store},
+    crate::platform::{config, Message, Mode, Proxy, Runner, Store},
     lentil_fakes::deployment::free_address,
     nix::{
         sys::signal::{kill, Signal},
--- a/daemon/tests/fault_injection/mod.rs
+++ b/daemon/tests/fault_injection/mod.rs
@@ -5,4 +5,3 @@
 pub mod check;
 pub mod fault_plan;
 pub mod fleet;
-pub mod proxy;
