Decisions for instances that reach no target; HTTP parts that any peer needs move to the node

core/src/reach: suspicion, check and return, choice of a relay; mesh question whether an instance reaches a service (not asked yet). Events of a stream, hop-by-hop headers and proxied replies move from the adapter to the node. Behaviour is as before.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod order;
 pub mod plan;
 pub mod poison;
+pub mod reach;
 pub mod route;
 pub mod routes;
 pub mod settings;
--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -3,14 +3,16 @@
     crate::{
         fleet::{InFlight, PrefixNote, TargetBatch},
         ids::{
-            CellId, EngineId, Fence, Incarnation, InstanceId, Millis, ModelId, PrefixHash,
-            RequestRate, Revision,
+            CellId, EngineId, Fence, Fingerprint, Incarnation, InstanceId, Millis, ModelId,
+            PrefixHash, RequestRate, Revision,
         },
         limit::Permit,
         manifest::{Edit, ManifestRecord, Role},
         order::Holder,
         plan::Demand,
         poison::{Crash, QuarantineDigest, Subject},
+        route::RoutingRequest,
+        routes::Route,
         stream::{OriginAnswer, StreamKey, StreamOrigin},
     },
     serde::{Deserialize, Serialize},
@@ -90,6 +92,51 @@
     },
     /// Parts that were blamed for crashes, and on which targets have completed answers, by datagram.
     ClearedParts(Vec<PrefixHash>),
+    /// Head of a request that the receiver serves for the sender's caller, by a connection of its own
+    /// kind; the body follows.
+    Relayed(Box<RelayedRequest>),
+}
+
+/// A caller's request that another instance relays, since it reaches no target of the service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedRequest {
+    /// Id that the caller gave this attempt.
+    pub id: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query string.
+    pub path: String,
+    /// Headers, without those that concern one connection only.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Hash of path and body.
+    pub fingerprint: Fingerprint,
+    /// Route by which the sender serves the request.
+    pub route: Route,
+    /// Version of the sender's routes.
+    pub version: Revision,
+    /// Service, prompt and objectives.
+    pub routing: RoutingRequest,
+    /// Maximum number of output tokens.
+    pub max: u32,
+    /// Time since the request arrived at the sender.
+    pub waited: Millis,
+    /// Time until the caller's deadline.
+    pub remaining: Millis,
+    /// Times that it was sent to targets so far.
+    pub sends: u32,
+    /// Last event that the caller has, if it is to go on after that one.
+    pub last_event: Option<u64>,
+    /// Id of the request that brought the caller the stream's first event, if it resumes one.
+    pub resumes: Option<String>,
+}
+
+/// An instance's statement that it reaches a service and relays requests for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayOffer {
+    /// Address at which it takes relayed requests.
+    pub address: SocketAddr,
+    /// Number of the service's targets that it reaches.
+    pub targets: u32,
 }
 
 /// Rate limit that a target has begun to announce, has changed or has ended.
@@ -128,6 +175,8 @@
         /// Service in which it is to go on.
         service: ModelId,
     },
+    /// Requests whether the receiver reaches the targets of a service.
+    Reach(ModelId),
 }
 
 /// Request for a permit for one request to a target that announces a rate limit.
@@ -154,6 +203,8 @@
     StreamOrigin(OriginAnswer),
     /// The receiver cannot answer the question.
     Unknown,
+    /// The receiver reaches the service.
+    Reach(RelayOffer),
 }
 
 /// A crash of a target while it ran a request, or one with a part.
--- /dev/null
+++ b/core/src/reach/check.rs
@@ -0,0 +1,36 @@
+/// Result of a check whether this instance reaches the targets of a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReachCheck {
+    /// Targets that were asked for a report.
+    pub asked: usize,
+    /// Targets that answered.
+    pub answered: usize,
+    /// Most targets that any other instance reaches; zero if none reaches the service.
+    pub others: usize,
+}
+
+impl ReachCheck {
+    /// Returns whether no target answers, while others reach the service. If nobody reaches it, the
+    /// targets themselves are down.
+    ///
+    /// ```
+    /// use lentil_core::reach::ReachCheck;
+    ///
+    /// assert!(ReachCheck { asked: 9, answered: 0, others: 8 }.is_cut_off());
+    /// assert!(!ReachCheck { asked: 9, answered: 0, others: 0 }.is_cut_off());
+    /// assert!(!ReachCheck { asked: 9, answered: 1, others: 8 }.is_cut_off());
+    /// ```
+    pub fn is_cut_off(&self) -> bool {
+        self.asked > 0 && self.answered == 0 && self.others > 0
+    }
+
+    /// Returns whether enough targets answer to send them all requests again: half of those that were
+    /// asked, or that others reach. Fewer would get the load of all.
+    pub fn is_back(&self) -> bool {
+        let expected = match self.others {
+            0 => 1,
+            others => others.min(self.asked),
+        };
+        self.answered > 0 && 2 * self.answered >= expected
+    }
+}
--- /dev/null
+++ b/core/src/reach/mod.rs
@@ -0,0 +1,11 @@
+//! Whether this instance reaches the targets of a service, and the other instances that relay its
+//! requests if it does not.
+
+mod check;
+mod relays;
+mod service_reach;
+
+pub use {check::*, relays::*, service_reach::*};
+
+#[cfg(test)]
+mod tests;
--- a/core/src/route/request.rs
+++ b/core/src/route/request.rs
@@ -5,11 +5,12 @@
         ids::{AdapterId, EngineId, ModelId, Rank, SoftwareVersion, Tokens},
         manifest::{ClassSpec, Role},
     },
+    serde::{Deserialize, Serialize},
     smallvec::SmallVec,
 };
 
 /// Properties of a request that decide which engines may run it and at what cost.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RoutingRequest {
     /// Model that the engine must serve.
     pub model: ModelId,
--- a/core/src/routes/route.rs
+++ b/core/src/routes/route.rs
@@ -3,11 +3,12 @@
         ids::{Alias, Millis, ServiceId},
         manifest::{ClassSpec, Repeat},
     },
+    serde::{Deserialize, Serialize},
     smallvec::SmallVec,
 };
 
 /// Rules for requests to one host whose paths start with a prefix.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route in logs and metrics.
     pub name: Alias,
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -3,8 +3,14 @@
 mod body;
 mod body_budget;
 mod client;
+mod event_splitter;
+mod event_stream;
+mod hop_by_hop;
 mod limited_stream;
 mod pool;
 mod server;
 
-pub use {body::*, body_budget::*, client::*, limited_stream::*, pool::*, server::*};
+pub use {
+    body::*, body_budget::*, client::*, event_splitter::*, event_stream::*, hop_by_hop::*,
+    limited_stream::*, pool::*, server::*,
+};
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -81,6 +81,7 @@
         Question::StreamOrigin { stream, service } => {
             Reply::StreamOrigin(own_answer(app, Some(*stream), service))
         }
+        Question::Reach(_) => Reply::Unknown,
     }
 }
 
--- a/node/src/mesh/limits.rs
+++ b/node/src/mesh/limits.rs
@@ -48,7 +48,7 @@
         match ask(app, &holder.0, holder.1, &question).await? {
             Reply::Permit(permit) => return Some(permit),
             Reply::AskInstead(id, address) => holder = (id, address),
-            Reply::Unknown | Reply::StreamOrigin(_) => return None,
+            Reply::Unknown | Reply::StreamOrigin(_) | Reply::Reach(_) => return None,
         }
     }
     None
