Instances that reach no target of a service have its requests served through others

An instance now checks whether it reaches a service as soon as two targets fail in a row without an answer, or nothing was heard for a second: it asks all targets for reports, and some instances whether they reach the service. If no target answers and an instance reaches some, the choice of a target picks that instance. It serves the request like its own, one hop at most; sends, time left, software version and outcome carry over. The service is reached again once half of the targets answer reports.

--- a/core/src/error/fault.rs
+++ b/core/src/error/fault.rs
@@ -1,11 +1,12 @@
 use {
     super::{ErrorKind, Outcome},
+    serde::{Deserialize, Serialize},
     std::{fmt, time::Duration},
     thiserror::Error,
 };
 
 /// Error to be returned to a caller.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub struct Fault {
     /// Kind of the error, which gives the HTTP status and the error code.
     pub kind: ErrorKind,
--- a/core/src/reach/mod.rs
+++ b/core/src/reach/mod.rs
@@ -2,10 +2,11 @@
 //! requests if it does not.
 
 mod check;
+mod reach_table;
 mod relays;
 mod service_reach;
 
-pub use {check::*, relays::*, service_reach::*};
+pub use {check::*, reach_table::*, relays::*, service_reach::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/reach/service_reach.rs
+++ b/core/src/reach/service_reach.rs
@@ -15,6 +15,8 @@
 const RETURN_INTERVAL: Duration = Duration::from_millis(500);
 /// Time within which a sign of a target shows that the service is reached.
 const EVIDENCE_VALIDITY: Duration = Duration::from_secs(1);
+/// Shortest time between two checks that other instances ask for.
+const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Silence from which requests in progress count as lost when the instance is found to be cut off.
 const LOST_SILENCE: Duration = Duration::from_millis(500);
 
@@ -31,6 +33,8 @@
     failed: SmallVec<[EngineId; 2]>,
     /// When the latest check began.
     checked: Option<Time>,
+    /// When the latest check began for which another instance asked.
+    asked: Option<Time>,
     cut: Option<Cut>,
     /// Other instances that reach the service.
     pub relays: Relays,
@@ -114,6 +118,17 @@
         due
     }
 
+    /// Returns whether some targets are to be asked now, since another instance asks whether this one
+    /// reaches them; counts as begun then.
+    pub fn take_asked_check(&mut self, now: Time) -> bool {
+        let early = self.asked.is_some_and(|at| now - at < ASKED_CHECK_INTERVAL);
+        let due = self.cut.is_none() && !self.is_evident(now) && !early;
+        if due {
+            self.asked = Some(now);
+        }
+        due
+    }
+
     /// Records that a check of all targets begins.
     pub fn begin_check(&mut self, now: Time) {
         self.checked = Some(now);
--- a/core/src/reach/tests.rs
+++ b/core/src/reach/tests.rs
@@ -105,6 +105,16 @@
     assert!(!reach.is_evident(at(2_002)), "open connections may live on");
 }
 
+#[test]
+fn take_asked_check_is_due_without_evidence_only() {
+    let mut reach = ServiceReach::default();
+    assert!(reach.take_asked_check(at(1_000)));
+    assert!(!reach.take_asked_check(at(1_199)), "too soon");
+    reach.record_sign(at(1_200));
+    assert!(!reach.take_asked_check(at(1_300)), "a target was heard");
+    assert!(reach.take_asked_check(at(2_300)));
+}
+
 #[test]
 fn choose_spreads_requests_and_prefers_the_zone() {
     let mut relays = Relays::default();
--- a/core/src/settings/instance.rs
+++ b/core/src/settings/instance.rs
@@ -60,6 +60,9 @@
     /// Interval between heartbeats.
     #[serde(default = "default_heartbeat_interval")]
     pub beat: Millis,
+    /// Address for requests that other instances relay; without one, none are relayed.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
 }
 
 fn default_heartbeat_interval() -> Millis {
@@ -177,6 +180,8 @@
         let key_valid = self.mesh.key.len() >= MIN_MESH_KEY_BYTES || self.hosted.is_some();
         require(key_valid, "mesh.key", "key must have at least 16 bytes");
         require(self.mesh.beat.0 >= 10, "mesh.beat", "must be at least 10 ms");
+        let relay_free = self.mesh.relay != Some(self.mesh.listen) || self.mesh.listen.port() == 0;
+        require(relay_free, "mesh.relay", "must differ from mesh.listen");
         require(self.limits.body.0 > 0, "limits.body", "must be greater than 0");
         require(self.limits.open > 0, "limits.open", "must be greater than 0");
         let retries_valid = (0.0..=0.1).contains(&self.limits.retries);
--- a/fakes/src/deployment/instance.rs
+++ b/fakes/src/deployment/instance.rs
@@ -44,6 +44,7 @@
                 listen: any_port,
                 key: "0123456789abcdef".to_owned(),
                 beat: Millis(100),
+                relay: None,
             },
             platform: PlatformSettings {
                 store: self.kv_server.address,
--- a/node/src/adapters/engine.rs
+++ b/node/src/adapters/engine.rs
@@ -181,7 +181,11 @@
             let at = target.address;
             let request = json_request(Method::POST, at, "/v1/runs", &job);
             let chunks = self.send(at, request, check).await.map(chunks)?;
-            Ok(Answer { head: None, parts: chunks.map(|c| c.map(AnswerPart::Chunk)).boxed() })
+            Ok(Answer {
+                head: None,
+                software: None,
+                parts: chunks.map(|c| c.map(AnswerPart::Chunk)).boxed(),
+            })
         }
         .boxed()
     }
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -18,6 +18,8 @@
         mesh::{FrameCodec, Questions},
         metrics::Metrics,
         ports::{ConfigStore, Engine, InstanceList, PlainService, WeightStore},
+        reach::ReachChecks,
+        relay::RelayLinks,
         run::Investigations,
     },
     lentil_core::{
@@ -30,6 +32,7 @@
         mesh::{DetectorTiming, LimitNote, MemberInfo, MemberView},
         order::Holder,
         poison::Quarantine,
+        reach::ReachTable,
         routes::RouteTable,
         settings::Settings,
         stream::StreamOrigins,
@@ -120,6 +123,12 @@
     /// Changes of targets' limits that the other instances are to learn.
     limit_notes: Mutex<Vec<LimitNote>>,
     investigations: Mutex<Investigations>,
+    /// Connections for requests that instances relay.
+    pub links: RelayLinks,
+    /// Changes each time that this instance is found to be cut off from a service.
+    pub reach_changed: watch::Sender<u64>,
+    reach: Mutex<ReachTable>,
+    reach_checks: Mutex<ReachChecks>,
     holders: Mutex<Holders>,
     /// Greatest manifest revision reported by any instance.
     latest_revision: Mutex<Revision>,
@@ -177,6 +186,10 @@
             limit_notes: Mutex::default(),
             questions: Questions::default(),
             investigations: Mutex::default(),
+            links: RelayLinks::new(settings.limits.open),
+            reach_changed: watch::Sender::default(),
+            reach: Mutex::default(),
+            reach_checks: Mutex::default(),
             holders: Mutex::default(),
             latest_revision: Mutex::default(),
             settings,
@@ -233,6 +246,16 @@
         lock(&self.investigations)
     }
 
+    /// Locks the state of the services' reach. No other lock is taken meanwhile.
+    pub fn reach(&self) -> MutexGuard<'_, ReachTable> {
+        lock(&self.reach)
+    }
+
+    /// Locks the checks of the services' reach that are in progress; `reach` may be locked meanwhile.
+    pub fn reach_checks(&self) -> MutexGuard<'_, ReachChecks> {
+        lock(&self.reach_checks)
+    }
+
     /// Returns whether another instance's quarantine may be requested at `now`, at most once in
     /// `interval`, and records the request.
     pub fn start_quarantine_pull(&self, now: Time, interval: Duration) -> bool {
--- a/node/src/app/send_gate.rs
+++ b/node/src/app/send_gate.rs
@@ -1,6 +1,6 @@
 use {
     super::App,
-    crate::ports::Target,
+    crate::ports::{Target, TargetKind},
     lentil_core::{
         clock::Time,
         gate::{Denial, SendIntent, SendKind},
@@ -90,6 +90,7 @@
             address,
             boot: lentil_core::ids::Incarnation(0),
             software: None,
+            kind: TargetKind::Server,
         })
     }
 
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -81,6 +81,7 @@
         },
         prompt: params.prompt.clone(),
         proxied: None,
+        relayed: None,
     })
 }
 
@@ -104,7 +105,7 @@
                 let answer = shape.completion(&ticket, model, text, reason.to_string(), usage);
                 return Ok(json_response(200, &answer));
             }
-            Piece::Head(_) | Piece::Bytes(_) | Piece::Done => {
+            Piece::Head(..) | Piece::Bytes(_) | Piece::Done => {
                 let text = "a generated answer contains a piece of a proxied answer";
                 return Err(Fault::new(ErrorKind::BadAnswer, text));
             }
--- a/node/src/commands/mod.rs
+++ b/node/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod generate;
 mod generation_request;
 mod proxy;
+mod relayed;
 mod service;
 
-pub use {generate::*, proxy::*, service::*};
+pub use {generate::*, proxy::*, relayed::*, service::*};
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -8,7 +8,7 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, BlockLengths},
-        ids::{Fingerprint, ModelId, Tokens},
+        ids::{CallerId, Fingerprint, ModelId, Tokens, WorkspaceId},
         route::RoutingRequest,
         routes::{Route, RouteTable},
     },
@@ -18,6 +18,12 @@
 /// Caller and workspace of all proxied requests: the platform names neither.
 const PROXIED_CALLER: &str = "passed-on";
 
+/// Returns caller and workspace of proxied requests.
+pub(super) fn proxied_caller() -> Result<(CallerId, WorkspaceId), Fault> {
+    let invalid = |_| Fault::new(ErrorKind::BadRequest, "invalid caller name");
+    Ok((PROXIED_CALLER.parse().map_err(invalid)?, PROXIED_CALLER.parse().map_err(invalid)?))
+}
+
 /// What the caller states about a proxied request.
 #[derive(Debug, Clone, Default)]
 pub struct RequestMetadata {
@@ -79,14 +85,11 @@
     })?;
     let timeout = route.timeout.duration();
     let timeout = metadata.timeout.map_or(timeout, |t| t.min(timeout));
+    let (caller, workspace) = proxied_caller()?;
     let run_request = RunRequest {
         fingerprint: Fingerprint::of(&[request.path.as_bytes(), &request.body]),
-        caller: PROXIED_CALLER
-            .parse()
-            .map_err(|_| Fault::new(ErrorKind::BadRequest, "invalid caller name"))?,
-        workspace: PROXIED_CALLER
-            .parse()
-            .map_err(|_| Fault::new(ErrorKind::BadRequest, "invalid workspace name"))?,
+        caller,
+        workspace,
         share: 1.0,
         class: route.name.clone(),
         arrived,
@@ -113,6 +116,7 @@
             last_event: metadata.last_event,
             resumes: metadata.resumes,
         }),
+        relayed: None,
     };
     Ok(run::start(app, run_request))
 }
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -6,7 +6,8 @@
         http::{self, Body, ConnectionLimits},
         mesh,
         ports::Directory,
-        queries,
+        queries, reach,
+        relay::serve_relayed,
     },
     hyper::{body::Incoming, Request, Response},
     std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
@@ -32,6 +33,8 @@
     pub ready: TcpListener,
     /// Listener for metrics scrapes.
     pub metrics: TcpListener,
+    /// Listener for requests that other instances relay, if there is an address for it.
+    pub relay: Option<TcpListener>,
 }
 
 /// Serves on a platform until `stop` completes, then drains running requests.
@@ -60,8 +63,18 @@
     let (stop_front, stopped) = watch::channel(false);
     // Probes and metrics are served until their tasks are aborted.
     let (_never, running) = watch::channel(false);
+    let relay_app = app.clone();
+    let relay = tower::service_fn(move |request| serve_relayed(relay_app.clone(), request));
+    let relayed = sockets.relay.map(|listener| {
+        tokio::spawn(http::serve(listener, relay, stopped.clone(), drain_limit, limits))
+    });
     let served = http::serve(sockets.base.callers, front, stopped, drain_limit, limits);
-    let served = tokio::spawn(served);
+    let served = tokio::spawn(async move {
+        let _ = served.await;
+        if let Some(relayed) = relayed {
+            let _ = relayed.await;
+        }
+    });
     let probes = probes(app.clone());
     let tasks = [
         tokio::spawn(http::serve(
@@ -78,6 +91,7 @@
         tokio::spawn(mesh::report_in_flight(app.clone())),
         tokio::spawn(mesh::announce_limits(app.clone())),
         tokio::spawn(mesh::share_stream_origins(app.clone())),
+        tokio::spawn(reach::watch_reach(app.clone())),
         tokio::spawn(follow::follow_list(app.clone())),
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
         tokio::spawn(follow::follow_routes(app.clone(), directory)),
--- a/node/src/front/proxied_reply.rs
+++ b/node/src/front/proxied_reply.rs
@@ -2,7 +2,7 @@
     crate::{
         http::{full, streamed, Body},
         ports::AnswerHead,
-        run::{Piece, Pieces},
+        run::{AnswerSource, Piece, Pieces},
     },
     bytes::Bytes,
     futures_util::stream::unfold,
@@ -23,18 +23,22 @@
 ///
 /// # Errors
 /// The fault that occurred before the response could begin.
-pub async fn proxied_reply(mut pieces: Pieces, streams: bool) -> Result<Response<Body>, Fault> {
+pub async fn proxied_reply(
+    mut pieces: Pieces,
+    streams: bool,
+) -> Result<(Response<Body>, AnswerSource), Fault> {
     let out_of_order =
         || Fault::new(ErrorKind::BadAnswer, "pieces of the answer came in the wrong order");
-    let Piece::Head(head) = pieces.next().await? else { return Err(out_of_order()) };
+    let Piece::Head(head, source) = pieces.next().await? else { return Err(out_of_order()) };
     if streams && head.status == 200 {
-        return Ok(with_head(head, streamed_body(pieces)));
-    }
-    match pieces.next().await? {
-        Piece::Bytes(body) => Ok(with_head(head, full(body))),
-        Piece::Done => Ok(with_head(head, full(Bytes::new()))),
-        _ => Err(out_of_order()),
+        return Ok((with_head(head, streamed_body(pieces)), source));
     }
+    let body = match pieces.next().await? {
+        Piece::Bytes(body) => body,
+        Piece::Done => Bytes::new(),
+        _ => return Err(out_of_order()),
+    };
+    Ok((with_head(head, full(body)), source))
 }
 
 /// Creates a body that ends normally only if the answer is complete; on a fault it closes the
--- a/node/src/front/sse.rs
+++ b/node/src/front/sse.rs
@@ -105,7 +105,7 @@
             Piece::Token { offset, text, .. } => (offset + 1, text.clone(), None),
             Piece::End { offset, reason, .. } => (*offset, String::new(), Some(reason.to_string())),
             Piece::Bytes(bytes) => return bytes.clone(),
-            Piece::Head(_) | Piece::Done => return Bytes::new(),
+            Piece::Head(..) | Piece::Done => return Bytes::new(),
         };
         let ticket = piece.ticket();
         let object = match self {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -14,4 +14,6 @@
 pub mod metrics;
 pub mod ports;
 pub mod queries;
+pub mod reach;
+pub mod relay;
 pub mod run;
--- a/node/src/mesh/ask.rs
+++ b/node/src/mesh/ask.rs
@@ -64,7 +64,7 @@
 }
 
 /// Asks another instance; `None` if it does not answer in time.
-pub(super) async fn ask(
+pub(crate) async fn ask(
     app: &App,
     id: &InstanceId,
     address: SocketAddr,
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -12,6 +12,7 @@
     crate::{
         app::{App, CellHolder},
         control, follow,
+        reach::answer_reach_question,
     },
     lentil_core::{
         ids::{Millis, Revision},
@@ -75,13 +76,13 @@
     }
 }
 
-fn answer_question(app: &App, question: &Question) -> Reply {
+fn answer_question(app: &Arc<App>, question: &Question) -> Reply {
     match question {
         Question::Permit(request) => answer_permit_request(app, request),
         Question::StreamOrigin { stream, service } => {
             Reply::StreamOrigin(own_answer(app, Some(*stream), service))
         }
-        Question::Reach(_) => Reply::Unknown,
+        Question::Reach(service) => answer_reach_question(app, service),
     }
 }
 
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -12,8 +12,9 @@
 mod send;
 mod streams;
 
+pub(crate) use ask::ask;
+use send::broadcast;
 pub(crate) use send::send_datagram;
-use {ask::ask, send::broadcast};
 pub use {
     ask::Questions,
     crash_news::{clear_parts, report_crash, ReportedBy},
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -39,6 +39,12 @@
     pub frozen_engines: IntGauge,
     /// Engines by role, as known to this instance.
     pub roles: IntGaugeVec,
+    /// Requests that other instances served for this one, by instance and end.
+    relayed: IntCounterVec,
+    /// Requests that this instance served for others, by end.
+    pub relays_served: IntCounterVec,
+    /// Services from which this instance is cut off.
+    pub cut_services: IntGauge,
     /// Engines by service, role and availability, as known to this instance.
     pub service_engines: IntGaugeVec,
     /// Rejected mesh frames by reason.
@@ -99,6 +105,8 @@
     pub resident_bytes: IntGauge,
     /// Targets with a label of their own in `attempts`.
     labelled: Mutex<BTreeSet<EngineId>>,
+    /// Instances with a label of their own in `relayed`.
+    labelled_relays: Mutex<BTreeSet<EngineId>>,
 }
 
 /// Limit on target labels: each takes memory and lengthens every scrape.
@@ -108,6 +116,19 @@
 /// Values of the label `end` for attempts on targets.
 const ATTEMPT_ENDS: [&str; 3] = ["answered", "refused", "lost"];
 
+/// Returns the label of a target or instance; those beyond the limit share one.
+fn label<'a>(labelled: &Mutex<BTreeSet<EngineId>>, id: &'a EngineId) -> &'a str {
+    let mut labelled = labelled.lock().unwrap_or_else(PoisonError::into_inner);
+    if !labelled.contains(id) && labelled.len() < MAX_LABELLED_TARGETS {
+        labelled.insert(id.clone());
+    }
+    if labelled.contains(id) {
+        id.as_str()
+    } else {
+        OTHER_TARGETS
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
@@ -160,6 +181,20 @@
                 &r,
                 IntGaugeVec::new(Opts::new("lentil_engines", "Engines by role"), &["role"]),
             ),
+            relayed: counters(
+                "lentil_relayed_total",
+                "Requests relayed to other instances",
+                &["instance", "end"],
+            ),
+            relays_served: counters(
+                "lentil_relays_served_total",
+                "Requests served for other instances",
+                &["end"],
+            ),
+            cut_services: gauge(
+                "lentil_services_cut_off",
+                "Services of which this instance reaches no target and others do",
+            ),
             service_engines: register(
                 &r,
                 IntGaugeVec::new(
@@ -228,6 +263,7 @@
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
             labelled: Mutex::default(),
+            labelled_relays: Mutex::default(),
             registry: r,
         }
     }
@@ -244,14 +280,16 @@
 
     /// Counts an attempt on a target: `answered`, `refused` or `lost`.
     pub fn record_attempt(&self, target: &EngineId, end: &str) {
-        let mut labelled = self.labelled.lock().unwrap_or_else(PoisonError::into_inner);
-        if !labelled.contains(target) && labelled.len() < MAX_LABELLED_TARGETS {
-            labelled.insert(target.clone());
-        }
-        let target = if labelled.contains(target) { target.as_str() } else { OTHER_TARGETS };
+        let target = label(&self.labelled, target);
         self.attempts.with_label_values(&[target, end]).inc();
     }
 
+    /// Counts a request relayed to another instance: `answered`, `refused` or `lost`.
+    pub fn record_relayed(&self, instance: &EngineId, end: &str) {
+        let instance = label(&self.labelled_relays, instance);
+        self.relayed.with_label_values(&[instance, end]).inc();
+    }
+
     /// Removes the counters of targets for which `is_known` returns false.
     pub fn retain_targets(&self, is_known: impl Fn(&EngineId) -> bool) {
         let mut labelled = self.labelled.lock().unwrap_or_else(PoisonError::into_inner);
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -5,9 +5,12 @@
     futures_util::{future::BoxFuture, stream::BoxStream, FutureExt},
     hyper::{HeaderMap, Method},
     lentil_core::{
+        error::{Fault, Outcome},
         fleet::{CacheEvent, Load},
         gate::Denial,
-        ids::{AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, Rank, RunId},
+        ids::{
+            AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, Rank, RunId, SoftwareVersion,
+        },
         manifest::Role,
         order::{EngineReport, Holder, Order},
         stream::Chunk,
@@ -80,6 +83,8 @@
 pub struct Answer {
     /// Status and headers, if the request is proxied.
     pub head: Option<AnswerHead>,
+    /// Version of the software that answers, if another instance has chosen the target.
+    pub software: Option<SoftwareVersion>,
     /// Parts of the answer; the stream ends without an error only if the answer is complete.
     pub parts: BoxStream<'static, Result<AnswerPart, EngineError>>,
 }
@@ -189,6 +194,9 @@
     /// The response violated the protocol.
     #[error("response of the engine is malformed: {0}")]
     Malformed(String),
+    /// The instance to which the request was relayed has given it up.
+    #[error("the request was given up by another instance: {0}")]
+    GivenUp(Fault),
     /// Authority over the engine's cell ended before the order was sent.
     #[error("authority over the cell ended before the order was sent")]
     NoAuthority,
@@ -197,7 +205,10 @@
 impl EngineError {
     /// Returns whether it is certain that the engine did not run the request.
     pub fn not_run(&self) -> bool {
-        self.not_sent() || matches!(self, Self::Refused(_) | Self::Misdirected)
+        match self {
+            Self::GivenUp(fault) => fault.outcome == Outcome::NotRun,
+            error => error.not_sent() || matches!(error, Self::Refused(_) | Self::Misdirected),
+        }
     }
 
     /// Returns whether nothing was sent to the engine.
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -65,6 +65,7 @@
         let states = [count(&|e| e.leaving), count(&|e| e.is_held(now))];
         (known, ejected, limited, states, (now - fleet.last_read).as_millis())
     };
+    app.metrics.cut_services.set(app.reach().count_cut_off() as i64);
     app.metrics.known_targets.set(known.len() as i64);
     app.metrics.ejected_targets.set(ejected as i64);
     app.metrics.limited_targets.set(limited as i64);
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -5,7 +5,7 @@
         in_flight::InFlightGuard,
         send::MAX_DENIALS,
         task::Task,
-        Piece,
+        AnswerSource, Piece,
     },
     crate::{
         app::{random_id, SendGate},
@@ -39,7 +39,7 @@
 
 /// One attempt to run a request on the engines chosen for it.
 pub(super) struct Attempt<'a> {
-    task: &'a mut Task,
+    pub(super) task: &'a mut Task,
     choice: EngineChoice,
     run: RunId,
     /// The run that this one continues on another engine.
@@ -68,13 +68,20 @@
             Ok(export) => export,
             Err(end) => return end,
         };
+        let target = self.choice.decode.clone();
+        if target.instance().is_some() {
+            return match self.send_relayed(&target).await {
+                Ok(answer) => self.forward(answer, None).await,
+                Err(end) => end,
+            };
+        }
         let mut denials = 0;
         loop {
             if export.is_some() {
                 self.choice.decode = self.task.choose_decode(&self.choice.decode);
             }
             match self.send_run(export.as_mut()).await {
-                Ok((answer, mut guard)) => return self.forward(answer, &mut guard).await,
+                Ok((answer, guard)) => return self.forward(answer, Some(guard)).await,
                 // The prefilled prompt stays; only the decode engine is chosen again.
                 Err(AttemptEnd::Denied(denial)) if export.is_some() => {
                     denials += 1;
@@ -99,8 +106,13 @@
         let cache = prefilled.or_else(|| self.migrated.as_ref().map(MigratedRun::source));
         let kind = if cache.is_some() { SendKind::Decode } else { SendKind::Run };
         let gate = self.gate(&target, kind, permit);
-        let rank = self.task.request.routing.rank;
-        let guard = InFlightGuard::new(&self.task.app, &target.id, prefill_here, rank);
+        let routing = &self.task.request.routing;
+        let guard = InFlightGuard::new(
+            &self.task.app,
+            &routing.model,
+            &target.id,
+            (prefill_here, routing.rank),
+        );
         let job = self.job(&target, cache);
         let engines = self.task.app.ports.engines.clone();
         self.task.log_send(&target);
@@ -110,6 +122,7 @@
         let running_before = self.task.running_at.replace((target.clone(), self.task.app.now()));
         match engines.generate(&target, job, &|| gate.check()).await {
             Ok(answer) => {
+                self.task.record_sign(&target);
                 if let Some(export) = &mut export {
                     export.mark_fetched();
                 }
@@ -194,18 +207,16 @@
         let gate = self.gate(&target, SendKind::Prefill, permit);
         self.task.prefills_sent += 1;
         let idle = app.fleet().engine(&target.id).is_none_or(|e| e.load.idle(app.now()));
-        let guard = InFlightGuard::new(
-            &app,
-            &target.id,
-            self.choice.prefill_tokens,
-            self.task.request.routing.rank,
-        );
+        let routing = &self.task.request.routing;
+        let work = (self.choice.prefill_tokens, routing.rank);
+        let guard = InFlightGuard::new(&app, &routing.model, &target.id, work);
         let start = app.now();
         let job = self.job(&target, None);
         self.task.running_at = Some((target.clone(), start));
         match app.ports.engines.prefill(&target, job, &|| gate.check()).await {
             Ok(run) => {
                 drop(guard);
+                self.task.record_sign(&target);
                 self.task.record_success(&target);
                 self.task.record_prefix_ready(&target);
                 let elapsed = app.now() - start;
@@ -245,8 +256,11 @@
     }
 
     /// Forwards the answer to the caller until it ends, fails, or the run migrates.
-    async fn forward(&mut self, answer: Answer, guard: &mut InFlightGuard) -> AttemptEnd {
-        let Answer { head, mut parts } = answer;
+    async fn forward(&mut self, answer: Answer, mut guard: Option<InFlightGuard>) -> AttemptEnd {
+        let Answer { head, software, mut parts } = answer;
+        if software.is_some() {
+            self.choice.decode.software = software;
+        }
         if let Some(head) = head {
             if let Some(fault) = self.accept_head(head) {
                 return AttemptEnd::Failed(fault);
@@ -258,6 +272,9 @@
         let ticket = self.ticket(base);
         self.task.maybe_ran = true;
         while let Some(next) = parts.next().await {
+            if next.is_ok() {
+                self.task.record_sign(&target);
+            }
             let sent = match next {
                 Ok(AnswerPart::Chunk(chunk)) => match check.accept(&chunk) {
                     Ok(()) => self.forward_chunk(chunk, &ticket).await,
@@ -286,7 +303,7 @@
                 // until then the caller can resume the stream through any instance.
                 return AttemptEnd::CallerGone;
             }
-            if guard.mark_prefilled() {
+            if guard.as_mut().is_some_and(InFlightGuard::mark_prefilled) {
                 self.task.record_prefix_ready(&target);
             }
             self.cancel_source_run();
@@ -333,7 +350,9 @@
         self.task.head_sent = true;
         self.task.status = head.status;
         self.task.first_token.get_or_insert(self.task.app.now());
-        self.task.sender.send(Ok(Piece::Head(head))).await.is_ok()
+        let software = self.choice.decode.software.clone();
+        let source = AnswerSource { software, sends: self.task.runs_sent };
+        self.task.sender.send(Ok(Piece::Head(head, source))).await.is_ok()
     }
 
     async fn forward_bytes(&mut self, bytes: bytes::Bytes) -> bool {
@@ -406,7 +425,7 @@
     }
 
     /// Excludes the target from further attempts, records the failure and converts it into a fault.
-    async fn record_error(&mut self, target: &Target, error: &EngineError) -> Fault {
+    pub(super) async fn record_error(&mut self, target: &Target, error: &EngineError) -> Fault {
         let kind = match error {
             error if error.not_run() => ErrorKind::NoTarget,
             EngineError::Timeout => ErrorKind::TargetTimeout,
@@ -423,6 +442,9 @@
             self.task.request.fingerprint,
             error = error.to_string()
         );
-        Fault::new(kind, format!("engine {:?}: {error}", target.id.as_str()))
+        match error {
+            EngineError::GivenUp(fault) => fault.clone(),
+            error => Fault::new(kind, format!("engine {:?}: {error}", target.id.as_str())),
+        }
     }
 }
--- a/node/src/run/attempts.rs
+++ b/node/src/run/attempts.rs
@@ -49,13 +49,17 @@
         loop {
             let (choice, migrated) = match migration.take() {
                 Some((choice, migrated)) => (choice, Some(migrated)),
-                None => match self.check_version_left().and_then(|()| self.choose(attempts)) {
+                None => match self.choose_checked(attempts).await {
                     Ok(choice) => (choice, None),
                     Err(fault) if self.may_wait(&fault, attempts) => {
                         sleep(NO_TARGET_RETRY_DELAY).await;
                         continue;
                     }
-                    Err(fault) => return self.fail(fault).await,
+                    Err(fault) => {
+                        let relay_fault = self.relay_fault.take();
+                        let unserved = fault.kind == ErrorKind::NoTarget;
+                        return self.fail(relay_fault.filter(|_| unserved).unwrap_or(fault)).await;
+                    }
                 },
             };
             let migrates = migrated.is_some();
@@ -86,6 +90,13 @@
         }
     }
 
+    /// Chooses targets once it is known whether the service is reached.
+    async fn choose_checked(&mut self, attempts: u32) -> Result<EngineChoice, Fault> {
+        self.check_version_left()?;
+        self.await_reach_check().await;
+        self.choose(attempts)
+    }
+
     /// Makes one attempt. For a proxied request it ends at the deadline or when the caller
     /// disconnects.
     async fn attempt(&mut self, choice: EngineChoice, migrated: Option<MigratedRun>) -> AttemptEnd {
@@ -96,9 +107,15 @@
             [Some(choice.decode.clone()), choice.prefill.clone()].into_iter().flatten().collect();
         let remaining = deadline - self.app.now();
         let sender = self.sender.clone();
+        let relays = choice.decode.instance().is_some();
+        let lost_by_cut = self.lost_by_cut();
         let ended = tokio::select! {
             biased;
             () = sender.closed() => None,
+            () = lost_by_cut, if !relays => {
+                let text = "the instance was cut off from the service";
+                Some(Ok(AttemptEnd::Failed(Fault::new(ErrorKind::TargetLost, text))))
+            }
             ended = timeout(remaining, Attempt::new(self, choice, migrated).run()) => Some(ended),
         };
         if matches!(ended, Some(Err(_))) {
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -81,7 +81,12 @@
     pub(super) fn choose(&mut self, attempts: u32) -> Result<EngineChoice, Fault> {
         let app = self.app.clone();
         let now = app.now();
-        if self.run_permission(now)? == RunPermission::Isolate {
+        let permission = self.run_permission(now)?;
+        self.check_relayed()?;
+        if let Some(relay) = self.choose_relay(now) {
+            return Ok(EngineChoice::relayed(relay));
+        }
+        if permission == RunPermission::Isolate {
             return self.choose_isolated(now);
         }
         let origin = self.origin();
--- a/node/src/run/engine_choice.rs
+++ b/node/src/run/engine_choice.rs
@@ -16,6 +16,19 @@
     pub(super) fetch_from: Option<Target>,
 }
 
+impl EngineChoice {
+    /// Creates the choice of another instance, which chooses the engines.
+    pub(super) fn relayed(instance: Target) -> Self {
+        Self {
+            decode: instance,
+            prefill: None,
+            prefill_tokens: Tokens(0),
+            assumed: false,
+            fetch_from: None,
+        }
+    }
+}
+
 /// A run that goes on at another engine, which fetches its KV cache from the first one.
 #[derive(Debug, Clone)]
 pub(super) struct MigratedRun {
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -35,6 +35,9 @@
 impl Task {
     /// Records that an engine answered, which closes its circuit breaker.
     pub(super) fn record_success(&self, target: &Target) {
+        if target.instance().is_some() {
+            return self.app.metrics.record_relayed(&target.id, "answered");
+        }
         self.app.metrics.record_attempt(&target.id, "answered");
         let now = self.app.now();
         if let Some(engine) = self.app.fleet().engine(&target.id) {
@@ -48,6 +51,15 @@
 
     /// Records that an engine failed, and finds out whether it crashed while running this request.
     pub(super) async fn record_failure(&self, target: &Target, error: &EngineError) {
+        if target.instance().is_some() {
+            return self.record_relay_failure(target, error);
+        }
+        match error {
+            EngineError::Refused(_) | EngineError::Misdirected | EngineError::Malformed(_) => {
+                self.record_sign(target);
+            }
+            _ => self.record_no_answer(target),
+        }
         let end = if error.not_run() { "refused" } else { "lost" };
         self.app.metrics.record_attempt(&target.id, end);
         // One lost answer or short time-out says little about a target that many requests share.
--- a/node/src/run/in_flight.rs
+++ b/node/src/run/in_flight.rs
@@ -2,7 +2,7 @@
     crate::app::App,
     lentil_core::{
         fleet::InFlightByInstance,
-        ids::{EngineId, Rank, Tokens},
+        ids::{EngineId, ModelId, Rank, Tokens},
     },
     std::sync::Arc,
 };
@@ -10,6 +10,7 @@
 /// Counts a request as in flight on a target until it is dropped.
 pub(super) struct InFlightGuard {
     app: Arc<App>,
+    service: ModelId,
     id: EngineId,
     tokens: Tokens,
     rank: Rank,
@@ -24,10 +25,17 @@
 }
 
 impl InFlightGuard {
-    /// Counts a request of `rank` with `tokens` left to prefill.
-    pub(super) fn new(app: &Arc<App>, id: &EngineId, tokens: Tokens, rank: Rank) -> Self {
+    /// Counts a request of `rank` to a target of `service`, with `tokens` left to prefill.
+    pub(super) fn new(
+        app: &Arc<App>,
+        service: &ModelId,
+        id: &EngineId,
+        (tokens, rank): (Tokens, Rank),
+    ) -> Self {
         update_in_flight(app, id, |in_flight| in_flight.record_start(tokens, rank));
-        Self { app: app.clone(), id: id.clone(), tokens, rank, prefilled: false }
+        app.reach().of(service).record_send(app.now());
+        let (service, id) = (service.clone(), id.clone());
+        Self { app: app.clone(), service, id, tokens, rank, prefilled: false }
     }
 
     /// Records that the prompt has been prefilled; returns `true` only the first time.
@@ -46,6 +54,7 @@
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
+        self.app.reach().of(&self.service).record_end();
         update_in_flight(&self.app, &self.id, |in_flight| {
             in_flight.record_finish(self.tokens, self.rank);
         });
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -12,6 +12,7 @@
 mod permit;
 mod piece;
 mod proxied;
+mod relay;
 mod request;
 mod resume;
 mod send;
--- a/node/src/run/piece.rs
+++ b/node/src/run/piece.rs
@@ -3,10 +3,11 @@
     bytes::Bytes,
     lentil_core::{
         error::{ErrorKind, Fault},
+        ids::SoftwareVersion,
         stream::{Chunk, EndReason},
     },
     std::sync::Arc,
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, OwnedSemaphorePermit},
 };
 
 /// Pieces buffered for a slow caller before the run waits for it.
@@ -34,13 +35,22 @@
         reason: EndReason,
     },
     /// Head of a proxied answer; always its first piece.
-    Head(AnswerHead),
+    Head(AnswerHead, AnswerSource),
     /// Bytes of a proxied answer: one complete event, or the complete body.
     Bytes(Bytes),
     /// The end of a proxied answer that arrived completely.
     Done,
 }
 
+/// What another instance has to know of an answer that it gets through this one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerSource {
+    /// Version of the software that answers.
+    pub software: Option<SoftwareVersion>,
+    /// Times that the request was sent to targets.
+    pub sends: u32,
+}
+
 impl Piece {
     /// Converts an engine's chunk into a piece of the stream that `ticket` identifies.
     pub(super) fn from_chunk(ticket: Arc<str>, chunk: Chunk) -> Self {
@@ -55,7 +65,7 @@
     pub fn ticket(&self) -> &str {
         match self {
             Self::Token { ticket, .. } | Self::End { ticket, .. } => ticket,
-            Self::Head(_) | Self::Bytes(_) | Self::Done => "",
+            Self::Head(..) | Self::Bytes(_) | Self::Done => "",
         }
     }
 }
@@ -65,11 +75,19 @@
     receiver: mpsc::Receiver<Result<Piece, Fault>>,
     unread: Option<Piece>,
     ended: bool,
+    /// Permit that is held until the answer has been forwarded.
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Pieces {
     pub(super) fn new(receiver: mpsc::Receiver<Result<Piece, Fault>>) -> Self {
-        Self { receiver, unread: None, ended: false }
+        Self { receiver, unread: None, ended: false, _permit: None }
+    }
+
+    /// Holds a permit until these pieces are dropped.
+    #[must_use]
+    pub fn with_permit(self, permit: OwnedSemaphorePermit) -> Self {
+        Self { _permit: Some(permit), ..self }
     }
 
     /// Waits for the next piece.
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -2,7 +2,7 @@
     crate::ports::ProxyRequest,
     lentil_core::{
         clock::Time,
-        ids::{CallerId, Fingerprint, PrefixHash, Revision, WorkspaceId},
+        ids::{CallerId, Fingerprint, InstanceId, PrefixHash, Revision, WorkspaceId},
         manifest::ClassName,
         route::RoutingRequest,
         routes::Route,
@@ -33,6 +33,17 @@
     pub prompt: String,
     /// The original HTTP request, if it is forwarded unchanged.
     pub proxied: Option<Proxied>,
+    /// The instance that relays it, if its caller sent it to another one.
+    pub relayed: Option<RelayedFrom>,
+}
+
+/// The instance that relays a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayedFrom {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Times that it has sent the request to targets itself.
+    pub sends: u32,
 }
 
 /// Most parts of a prompt that are looked at when a target has crashed.
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -54,6 +54,10 @@
     pub(super) status: u16,
     /// Id of the last event forwarded.
     pub(super) last_event: Option<u64>,
+    /// Instances that were asked to relay the request.
+    pub(super) relays_tried: u32,
+    /// How the latest of them failed.
+    pub(super) relay_fault: Option<Fault>,
 }
 
 impl Task {
@@ -62,6 +66,7 @@
         request: RunRequest,
         sender: mpsc::Sender<Result<Piece, Fault>>,
     ) -> Self {
+        let runs_sent = request.relayed.as_ref().map_or(0, |r| r.sends);
         Self {
             app,
             request,
@@ -73,13 +78,15 @@
             trial: false,
             closed_since: None,
             running_at: None,
-            runs_sent: 0,
+            runs_sent,
             prefills_sent: 0,
             head_sent: false,
             last_piece: None,
             longest_gap: Duration::ZERO,
             status: 0,
             last_event: None,
+            relays_tried: 0,
+            relay_fault: None,
         }
     }
 
@@ -96,6 +103,7 @@
         let permission = self.app.quarantine().permission(self.request.fingerprint, now);
         let isolates = permission == RunPermission::Isolate;
         let waits = isolates || attempts > 0 && self.has_untried_target();
+        let waits = waits && self.relay_fault.is_none() && self.check_relayed().is_ok();
         fault.kind == ErrorKind::NoTarget && waits && now + needed < deadline
     }
 
@@ -114,8 +122,11 @@
         }
     }
 
-    /// Counts the request toward the retry or resend budget.
+    /// Counts the request toward the retry or resend budget, unless another instance has done so.
     pub(super) fn count_request(&self) {
+        if self.request.relayed.is_some() {
+            return;
+        }
         let now = self.app.now();
         match self.request.proxied {
             None => self.app.admission().retries.record_request(),
