Relays: refused requests are not sent directly, engines that were only not reached are not excluded at the relay

Found by tests of relayed requests: a request that had failed at targets which this instance did not reach excluded them at the relay too, which then had none left; a relay that gave one request up counted as failed for all; a relayed stream was searched for its origin although its version was named; a request that relays had refused was tried at targets that are cut off, and answered without the relays' Retry-After. A check that no target answered is repeated every second: other instances may not have known yet that they reach the service.

--- a/core/src/reach/service_reach.rs
+++ b/core/src/reach/service_reach.rs
@@ -35,6 +35,8 @@
     checked: Option<Time>,
     /// When the latest check began for which another instance asked.
     asked: Option<Time>,
+    /// Whether no target answered in the latest check.
+    unanswered: bool,
     cut: Option<Cut>,
     /// Other instances that reach the service.
     pub relays: Relays,
@@ -83,6 +85,7 @@
     pub fn record_sign(&mut self, now: Time) {
         self.quiet_since = now;
         self.heard = Some(now);
+        self.unanswered = false;
         self.failed.clear();
     }
 
@@ -109,6 +112,8 @@
             }
             None => {
                 let silent = self.waiting > 0 && now - self.quiet_since >= MAX_SILENCE;
+                // Another instance may reach the service by now.
+                let silent = silent || self.unanswered && !self.failed.is_empty();
                 (silent && self.check_allowed(now)).then_some(DueCheck::Silence)
             }
         };
@@ -136,6 +141,7 @@
 
     /// Records the result of a check; returns what it changes.
     pub fn record_check(&mut self, check: &ReachCheck, now: Time) -> Option<ReachChange> {
+        self.unanswered = check.asked > 0 && check.answered == 0;
         match self.cut {
             None if check.is_cut_off() => {
                 let silent = now - self.quiet_since >= LOST_SILENCE;
--- a/core/src/reach/tests.rs
+++ b/core/src/reach/tests.rs
@@ -83,6 +83,18 @@
     assert_eq!(ServiceReach::default().record_check(&down, at(1_000)), None);
 }
 
+#[test]
+fn take_due_check_repeats_a_check_that_no_target_answered() {
+    let mut reach = ServiceReach::default();
+    reach.record_failure(&engine(1), 4, at(900));
+    reach.begin_check(at(1_000));
+    reach.record_check(&ReachCheck { others: 0, ..CUT }, at(1_000));
+    assert_eq!(reach.take_due_check(at(1_999)), None);
+    assert_eq!(reach.take_due_check(at(2_000)), Some(DueCheck::Silence));
+    reach.record_sign(at(2_100));
+    assert_eq!(reach.take_due_check(at(4_000)), None);
+}
+
 #[test]
 fn has_lost_requests_only_after_silence() {
     for (silence, lost) in [(100, false), (600, true)] {
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -433,6 +433,9 @@
             _ => ErrorKind::TargetLost,
         };
         self.task.request.routing.excluded.push(target.id.clone());
+        if error.not_sent() {
+            self.task.unreached.push(target.id.clone());
+        }
         self.task.record_failure(target, error).await;
         let id = self.task.request.log_id(&self.run);
         let (begun, sends) = (self.task.maybe_ran, self.task.runs_sent);
--- a/node/src/run/attempts.rs
+++ b/node/src/run/attempts.rs
@@ -55,11 +55,7 @@
                         sleep(NO_TARGET_RETRY_DELAY).await;
                         continue;
                     }
-                    Err(fault) => {
-                        let relay_fault = self.relay_fault.take();
-                        let unserved = fault.kind == ErrorKind::NoTarget;
-                        return self.fail(relay_fault.filter(|_| unserved).unwrap_or(fault)).await;
-                    }
+                    Err(fault) => return self.fail(fault).await,
                 },
             };
             let migrates = migrated.is_some();
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -86,6 +86,9 @@
         if let Some(relay) = self.choose_relay(now) {
             return Ok(EngineChoice::relayed(relay));
         }
+        if let Some(fault) = self.relay_fault.clone().filter(|_| self.is_cut_off()) {
+            return Err(fault);
+        }
         if permission == RunPermission::Isolate {
             return self.choose_isolated(now);
         }
--- a/node/src/run/relay.rs
+++ b/node/src/run/relay.rs
@@ -60,14 +60,18 @@
         service.relays.choose(&routing.excluded, rand::random(), now).map(Target::from_relay)
     }
 
+    /// Returns whether this instance is cut off from the request's service.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.app.reach().is_cut_off(&self.request.routing.model)
+    }
+
     /// Refuses a relayed request if this instance does not reach its service either.
     pub(super) fn check_relayed(&self) -> Result<(), Fault> {
-        let service = &self.request.routing.model;
-        if self.request.relayed.is_none() || !self.app.reach().is_cut_off(service) {
+        if self.request.relayed.is_none() || !self.is_cut_off() {
             return Ok(());
         }
         let text = "the instance does not reach the service of a relayed request";
-        Err(Fault::new(ErrorKind::NoTarget, text))
+        Err(Fault::new(ErrorKind::NotReady, text))
     }
 
     /// Records that a target, or the instance that relays for it, has sent something.
@@ -96,9 +100,8 @@
     pub(super) fn record_relay_failure(&self, target: &Target, error: &EngineError) {
         let end = if error.not_run() { "refused" } else { "lost" };
         self.app.metrics.record_relayed(&target.id, end);
-        // An instance that is only loaded still reaches the service.
-        let loaded = matches!(error, EngineError::GivenUp(f) if f.kind == ErrorKind::NoCapacity);
-        if let Some(id) = target.instance().filter(|_| !loaded) {
+        let relays = matches!(error, EngineError::GivenUp(f) if f.kind != ErrorKind::NotReady);
+        if let Some(id) = target.instance().filter(|_| !relays) {
             self.app.reach().of(&self.request.routing.model).relays.record_failure(id);
         }
     }
@@ -126,6 +129,9 @@
         let original = &proxied.request;
         let headers = original.headers.iter();
         let headers = headers.map(|(n, v)| (n.as_str().to_owned(), v.as_bytes().to_vec()));
+        let mut routing = request.routing.clone();
+        // The other instance may reach them.
+        routing.excluded.retain(|id| !self.unreached.contains(id));
         let head = RelayedRequest {
             id: original.id.clone(),
             method: original.method.to_string(),
@@ -134,7 +140,7 @@
             fingerprint: request.fingerprint,
             route: (*proxied.route).clone(),
             version: proxied.version,
-            routing: request.routing.clone(),
+            routing,
             max: request.max_tokens,
             waited: millis(now - request.arrived),
             remaining: millis(proxied.deadline - now),
--- a/node/src/run/stream_origin.rs
+++ b/node/src/run/stream_origin.rs
@@ -39,7 +39,9 @@
     /// several.
     pub(super) async fn bind_resumed_stream(&mut self) -> Result<(), Fault> {
         let Some(proxied) = self.request.proxied.clone() else { return Ok(()) };
-        if !proxied.route.resumable || !proxied.resumes_stream() {
+        // The instance that relays the request has found it out.
+        let bound = self.request.routing.software.is_some();
+        if bound || !proxied.route.resumable || !proxied.resumes_stream() {
             return Ok(());
         }
         let service = self.request.routing.model.clone();
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -7,6 +7,7 @@
         ids::{EngineId, Tokens},
         poison::RunPermission,
     },
+    smallvec::SmallVec,
     std::{sync::Arc, time::Duration},
     tokio::{sync::mpsc, time::sleep},
 };
@@ -54,6 +55,8 @@
     pub(super) status: u16,
     /// Id of the last event forwarded.
     pub(super) last_event: Option<u64>,
+    /// Targets that this instance did not reach for the request.
+    pub(super) unreached: SmallVec<[EngineId; 2]>,
     /// Instances that were asked to relay the request.
     pub(super) relays_tried: u32,
     /// How the latest of them failed.
@@ -85,6 +88,7 @@
             longest_gap: Duration::ZERO,
             status: 0,
             last_event: None,
+            unreached: SmallVec::new(),
             relays_tried: 0,
             relay_fault: None,
         }
