--- a/core/src/poison/verdict.rs
+++ b/core/src/poison/verdict.rs
@@ -3,28 +3,48 @@
 pub enum Verdict {
     /// The same process answers.
     Alive,
-    /// The process is gone or was replaced by another.
-    Crashed,
+    /// The process was replaced by another.
+    Replaced,
+    /// The target refuses connections.
+    Refusing,
     /// The target answers no probe.
     Silent,
 }
 
+/// What is known of the other targets of a service during an investigation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OtherTargets {
+    /// At least one has sent something.
+    Answer,
+    /// None has sent anything, so that the instance itself may be cut off.
+    Quiet,
+    /// There are none.
+    Absent,
+}
+
 impl Verdict {
-    /// Returns whether the requests that ran on the target count as crashing it. `others_answer`
-    /// states whether other targets have answered since: if none has, the instance itself may be
-    /// cut off, and a silent target says nothing about the request.
+    /// Returns whether the verdict holds only if this instance reaches the service.
+    pub fn needs_others(self) -> bool {
+        matches!(self, Self::Refusing | Self::Silent)
+    }
+
+    /// Returns whether the requests that ran on the target count as crashing it. Connections of an
+    /// instance that is cut off are refused or silent, which says nothing about the requests.
     ///
     /// ```
-    /// use lentil_core::poison::Verdict;
+    /// use lentil_core::poison::{OtherTargets, Verdict};
     ///
-    /// assert!(Verdict::Silent.is_crash(true));
-    /// assert!(!Verdict::Silent.is_crash(false));
+    /// assert!(Verdict::Refusing.is_crash(OtherTargets::Answer));
+    /// assert!(!Verdict::Refusing.is_crash(OtherTargets::Quiet));
+    /// assert!(Verdict::Refusing.is_crash(OtherTargets::Absent));
+    /// assert!(!Verdict::Silent.is_crash(OtherTargets::Absent));
     /// ```
-    pub fn is_crash(self, others_answer: bool) -> bool {
-        match self {
-            Self::Alive => false,
-            Self::Crashed => true,
-            Self::Silent => others_answer,
+    pub fn is_crash(self, others: OtherTargets) -> bool {
+        match (self, others) {
+            (Self::Alive, _) => false,
+            (Self::Replaced, _) => true,
+            (Self::Refusing, others) => others != OtherTargets::Quiet,
+            (Self::Silent, others) => others == OtherTargets::Answer,
         }
     }
 
@@ -32,7 +52,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Alive => "alive",
-            Self::Crashed => "crashed",
+            Self::Replaced | Self::Refusing => "crashed",
             Self::Silent => "silent",
         }
     }
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -4,6 +4,7 @@
         app::App,
         mesh::{clear_parts, report_crash, ReportedBy},
         ports::{EngineError, Target},
+        reach::begin_check,
     },
     futures_util::{
         future::{BoxFuture, Shared},
@@ -12,7 +13,7 @@
     lentil_core::{
         clock::Time,
         ids::{EngineId, Incarnation},
-        poison::{Crash, Subject, Verdict},
+        poison::{Crash, OtherTargets, Subject, Verdict},
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -133,8 +134,11 @@
     let began = app.now();
     let verdict = join_investigation(&app, &target).await;
     let now = app.now();
-    let others_answer =
-        app.fleet().engines.iter().any(|e| e.id != target.id && e.last_answer > began);
+    let others = match verdict.needs_others() {
+        true => other_targets(&app, &target, began).await,
+        false => OtherTargets::Quiet,
+    };
+    let others_answer = others == OtherTargets::Answer;
     log::info!(
         "poison: target={} verdict={} others_answer={others_answer} {} ms={}",
         target.id,
@@ -142,13 +146,36 @@
         subjects[0],
         (now - began).as_millis()
     );
-    if !verdict.is_crash(others_answer) {
+    if !verdict.is_crash(others) {
         return;
     }
     app.record_target_failure(&target, false, "it has crashed");
     report_crash(&app, &subjects, Crash { engine: target.id, boot: target.boot }).await;
 }
 
+/// Finds out whether other targets of the service have sent anything since the investigation began;
+/// they are asked for reports if not.
+async fn other_targets(app: &Arc<App>, target: &Target, began: Time) -> OtherTargets {
+    let service = {
+        let mut fleet = app.fleet();
+        let Some(service) = fleet.engine(&target.id).map(|e| e.model.clone()) else {
+            return OtherTargets::Absent;
+        };
+        if !fleet.engines.iter().any(|e| e.model == service && e.id != target.id) {
+            return OtherTargets::Absent;
+        }
+        service
+    };
+    let heard = || app.reach().of(&service).last_sign().is_some_and(|at| at > began);
+    if !heard() {
+        begin_check(app, &service).await;
+    }
+    match heard() {
+        true => OtherTargets::Answer,
+        false => OtherTargets::Quiet,
+    }
+}
+
 /// Starts an investigation of the target, or joins the one in progress.
 fn join_investigation(app: &Arc<App>, target: &Target) -> PendingVerdict {
     let mut investigations = app.investigations();
@@ -176,10 +203,11 @@
             // The target wants no requests, so only its port is looked at.
             Err(EngineError::Denied(_)) => {
                 let alive = app.ports.engines.listens(target).await;
-                return if alive { Verdict::Alive } else { Verdict::Crashed };
+                return if alive { Verdict::Alive } else { Verdict::Refusing };
             }
             Ok(report) if target.may_be(report.boot) => return Verdict::Alive,
-            Ok(_) | Err(EngineError::NotSent(_)) => return Verdict::Crashed,
+            Ok(_) => return Verdict::Replaced,
+            Err(EngineError::NotSent(_)) => return Verdict::Refusing,
             // The port of a dying process may stay open for a while.
             Err(_) => sleep(CRASH_PROBE_INTERVAL).await,
         }
