--- a/node/src/control/controller.rs
+++ b/node/src/control/controller.rs
@@ -114,6 +114,10 @@
     /// `Ok(false)` says nothing about the store: the cell is not held and no attempt to acquire it
     /// was due, or its lease has ended.
     async fn tick(&mut self, app: &Arc<App>) -> Result<bool, StoreError> {
+        if engine_specs::is_cut_off(app, &self.cell) {
+            self.give_up(app).await;
+            return Ok(false);
+        }
         let Some(mut held) = self.held.take() else { return self.try_acquire(app).await };
         held.renew(app).await;
         if !held.cell_lease.valid(app.now()) {
@@ -134,6 +138,14 @@
         Ok(true)
     }
 
+    /// Gives up the cell, if this instance holds it, so that another one can give its orders.
+    async fn give_up(&mut self, app: &App) {
+        if let Some(held) = self.held.take() {
+            held.release(app).await;
+            self.abandon_cell(app);
+        }
+    }
+
     fn abandon_cell(&mut self, app: &App) {
         log::warn!("control: cell {} is no longer held by this instance", self.cell);
         self.changes.drain(..).for_each(|change| change.abandon(app));
--- a/node/src/control/engine_specs.rs
+++ b/node/src/control/engine_specs.rs
@@ -56,6 +56,17 @@
     })
 }
 
+/// Returns whether this instance is cut off from all services of a cell, so that no order of it would
+/// arrive.
+pub(super) fn is_cut_off(app: &App, cell: &CellId) -> bool {
+    let services: BTreeSet<ModelId> = {
+        let fleet = app.fleet();
+        fleet.engines.iter().filter(|e| cell_of(e) == *cell).map(|e| e.model.clone()).collect()
+    };
+    let reach = app.reach();
+    !services.is_empty() && services.iter().all(|service| reach.is_cut_off(service))
+}
+
 /// Returns whether a service's targets are engines that take orders.
 fn takes_orders(table: &RouteTable, model: &ModelId) -> bool {
     let service: Option<ServiceId> = model.as_str().parse().ok();
