Answers are read for 150 ms after their senders have given them up

What a target says of itself was learnt by whoever waited for the answer. An attempt that ended by its deadline or with its caller dropped the answer unread: a target that refuses a request as its time limit passes in the queue, and asks for a time, was sent requests all the while (70 and 67 contacts of 2 allowed, tests that failed before). The exchange now runs as a task of its own, which records the announcement, and ends 150 ms after its result is no longer awaited.

--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -7,10 +7,11 @@
 mod event_stream;
 mod hop_by_hop;
 mod limited_stream;
+mod lingering;
 mod pool;
 mod server;
 
 pub use {
     body::*, body_budget::*, client::*, event_splitter::*, event_stream::*, hop_by_hop::*,
-    limited_stream::*, pool::*, server::*,
+    limited_stream::*, lingering::*, pool::*, server::*,
 };
