A time that a target asks for binds its process that is registered later

A target that has started again answers before the directory tells of it. The time now goes on for the later incarnation, for 5 s after it was given at most: a process that starts after that has not asked. What was said of leaving still ends with the incarnation. The oracle of the property test knows the new rule; the doc example tests the leaving itself.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -181,7 +181,7 @@
     }
 
     /// Takes over what this incarnation, or a later one, has said of itself.
-    pub fn apply_notice(&mut self, notice: &Notice) {
+    pub fn apply_notice(&mut self, notice: Notice) {
         self.leaving |= notice.leaving;
         self.held = self.held.max(notice.held);
     }
--- a/core/src/fleet/target_notices.rs
+++ b/core/src/fleet/target_notices.rs
@@ -3,18 +3,22 @@
         clock::Time,
         ids::{EngineId, Incarnation},
     },
-    std::collections::HashMap,
+    std::{collections::HashMap, time::Duration},
 };
 
+/// Time within which the directory tells of a process that answers already. A time that was asked for
+/// may come from such a process, and binds its later entry for so long at most.
+const REGISTRATION_DELAY: Duration = Duration::from_secs(5);
+
 /// Most targets whose notices are kept; beyond it the oldest is forgotten.
 const MAX_NOTICES: usize = 16_384;
 
 /// What targets said of themselves in their answers to this instance: that they are leaving, or want
 /// no requests for a time.
 ///
-/// A notice binds this instance on its own. It outlasts the target's entry in the directory and ends
-/// only with a later incarnation of the target: neither an answer without it, nor an older entry, nor
-/// the late answer of an earlier process lifts it.
+/// A notice binds this instance on its own. It outlasts the target's entry in the directory, and that the
+/// target is leaving ends only with a later incarnation: neither an answer without it, nor an older
+/// entry, nor the late answer of an earlier process lifts it.
 #[derive(Debug, Clone, Default)]
 pub struct TargetNotices {
     notices: HashMap<EngineId, Notice>,
@@ -33,6 +37,14 @@
     given: Time,
 }
 
+impl Notice {
+    /// Returns what it says of a process that is registered as a later incarnation.
+    fn for_later(&self, boot: Incarnation) -> Self {
+        let held = self.held.min(self.given + REGISTRATION_DELAY);
+        Self { boot, leaving: false, held, given: self.given }
+    }
+}
+
 impl TargetNotices {
     /// Returns the notices that bind a process that is registered as this incarnation.
     ///
@@ -44,11 +56,12 @@
     /// notices.record_leaving(&id, Incarnation(2), Time::ZERO);
     /// assert!(notices.of(&id, Incarnation(2)).is_some_and(|n| n.leaving));
     /// assert!(notices.of(&id, Incarnation(1)).is_some(), "an older entry");
-    /// assert!(notices.of(&id, Incarnation(3)).is_none(), "started again");
+    /// assert!(notices.of(&id, Incarnation(3)).is_some_and(|n| !n.leaving), "started again");
     /// # Ok::<(), lentil_core::ids::NameError>(())
     /// ```
-    pub fn of(&self, id: &EngineId, boot: Incarnation) -> Option<&Notice> {
-        self.notices.get(id).filter(|n| boot <= n.boot)
+    pub fn of(&self, id: &EngineId, boot: Incarnation) -> Option<Notice> {
+        let notice = self.notices.get(id)?;
+        Some(if boot <= notice.boot { *notice } else { notice.for_later(boot) })
     }
 
     /// Records that the target is leaving; returns whether that is new.
@@ -83,7 +96,7 @@
             return None;
         }
         if boot > notice.boot {
-            *notice = fresh;
+            *notice = notice.for_later(boot);
         }
         notice.given = now;
         Some(notice)
--- a/core/src/gate/tests.rs
+++ b/core/src/gate/tests.rs
@@ -100,12 +100,26 @@
     assert!(left(&notices, 1) && left(&notices, 2) && !left(&notices, 3));
     notices.record_hold(&id, Incarnation(3), NOW, NOW);
     assert!(!left(&notices, 3), "the later process is not leaving");
+    assert_eq!(notices.of(&id, Incarnation(3)).unwrap().held, NOW);
     notices.record_hold(&id, Incarnation(3), NOW + Duration::from_secs(5), NOW);
     let shorter = notices.record_hold(&id, Incarnation(3), NOW + Duration::from_secs(1), NOW);
     assert!(!shorter, "a shorter time does not lift a longer one");
     assert_eq!(notices.of(&id, Incarnation(3)).unwrap().held, NOW + Duration::from_secs(5));
 }
 
+#[test]
+fn hold_binds_a_process_that_is_registered_later_for_a_short_time() {
+    let id: EngineId = "t".parse().unwrap();
+    let held = |hold: u64, boot: u64| {
+        let mut notices = TargetNotices::default();
+        notices.record_hold(&id, Incarnation(2), NOW + Duration::from_secs(hold), NOW);
+        notices.of(&id, Incarnation(boot)).unwrap().held - NOW
+    };
+    assert_eq!(held(3, 3), Duration::from_secs(3));
+    assert_eq!(held(60, 3), Duration::from_secs(5), "a process that starts later has not asked");
+    assert_eq!(held(60, 2), Duration::from_secs(60));
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Wait(u64),
@@ -155,10 +169,19 @@
         in_order.map(|(_, a)| a).filter(move |_| entry <= latest)
     }
 
+    /// Ends of the times that were asked for. Each may have come from a process that is registered
+    /// later; all are shorter than the delay of the directory.
+    fn held(&self) -> u64 {
+        let in_order =
+            |i: usize, a: &(u64, bool, u64)| self.answers[..i].iter().all(|before| before.0 <= a.0);
+        let binding = self.answers.iter().enumerate().filter(|(i, a)| in_order(*i, a));
+        binding.map(|(_, a)| a.2).max().unwrap_or(0)
+    }
+
     /// Notes what binds the process of the present entry; it stays so.
     fn update_entry(&mut self) {
         let leaving = self.binding().any(|a| a.1);
-        let held = self.binding().map(|a| a.2).max().unwrap_or(0);
+        let held = self.held();
         if let Some(entry) = &mut self.entry {
             *entry = (entry.0, entry.1 || leaving, entry.2.max(held));
         }
