--- a/node/src/http/client.rs
+++ b/node/src/http/client.rs
@@ -181,15 +181,31 @@
         self,
         request: Request<Body>,
         timeout: Duration,
+    ) -> Result<BufferedResponse, CallError> {
+        self.exchange_observed(request, timeout, |_, _| {}).await
+    }
+
+    /// Like [`Self::exchange`], and passes status and headers to `observe` as soon as they are there,
+    /// whatever becomes of the body.
+    ///
+    /// # Errors
+    /// Returns [`CallError`] if the request fails.
+    pub async fn exchange_observed(
+        self,
+        request: Request<Body>,
+        timeout: Duration,
+        observe: impl FnOnce(u16, &HeaderMap),
     ) -> Result<BufferedResponse, CallError> {
         let address = self.address;
         let exchange = async {
             let response = self.send(request, timeout).await?;
             let (head, body) = response.into_parts();
+            let status = head.status.as_u16();
+            observe(status, &head.headers);
             let body = read_all(body, MAX_RESPONSE_BYTES)
                 .await
                 .map_err(|e| CallError::Lost(address, e.to_string()))?;
-            Ok(BufferedResponse { status: head.status.as_u16(), headers: head.headers, body })
+            Ok(BufferedResponse { status, headers: head.headers, body })
         };
         tokio::time::timeout(timeout, exchange).await.map_err(|_| CallError::Timeout(address))?
     }
