--- a/ctl/src/queries/burn.rs
+++ b/ctl/src/queries/burn.rs
@@ -27,9 +27,10 @@
     /// All ends, in the order of the report's columns.
     pub const ALL: [Self; 5] = [Self::Good, Self::Late, Self::Refused, Self::Failed, Self::Left];
 
-    /// Reads the end from a log line; `None` if the line does not end a request.
+    /// Reads the end from a log line; `None` if the line does not end a request, or ends one that is
+    /// served for another instance, which has a line of its own.
     fn from_line(line: &Line) -> Option<Self> {
-        if line.part() != "run" {
+        if line.part() != "run" || line.field("for").is_some() {
             return None;
         }
         if line.has_word("left") {
--- a/ctl/src/queries/explain.rs
+++ b/ctl/src/queries/explain.rs
@@ -33,7 +33,7 @@
 pub fn request_timeline(logs: &Logs, id: &str) -> Option<String> {
     let own: Vec<&Line> = logs.lines.iter().filter(|l| l.field("id") == Some(id)).collect();
     let (first, last) = (own.first()?, own.last()?);
-    let targets: BTreeSet<&str> = ["decode", "prefill", "at"]
+    let targets: BTreeSet<&str> = ["decode", "prefill", "at", "to"]
         .iter()
         .flat_map(|name| own.iter().filter_map(|l| l.field(name)))
         .filter(|t| *t != "-")
@@ -68,7 +68,7 @@
     let named =
         named || line.part() == "control" && targets.iter().any(|t| line.message.contains(t));
     let state_changes =
-        ["directory: lost", "directory: regained", "routes:", "daemon:", "control: cell"];
+        ["directory: lost", "directory: regained", "routes:", "daemon:", "control: cell", "reach:"];
     let same_instance = instances.contains(line.instance.as_str());
     named
         || same_instance
@@ -113,7 +113,9 @@
     Some(match kind {
         "no-capacity" => "nothing was sent, the queues were too long; the caller may retry",
         "no-target" => "nothing ran, no target was open for it; see breaker and directory lines",
-        "not-ready" => "nothing was sent, the instance did not know the routes yet",
+        "not-ready" => {
+            "nothing was sent, the instance did not know the routes yet, or reached no target"
+        }
         "stopping" => "nothing was sent, the instance was stopping",
         "no-route" => "no route of the configuration in force matches it",
         "quarantined" => "not sent again, it has crashed two targets",
--- a/ctl/tests/logs.rs
+++ b/ctl/tests/logs.rs
@@ -17,6 +17,11 @@
  5.4 edge-1 2026-01-11T20:30:21.4Z [INFO] run: id=dd given_up route=r-a after_ms=0 routes=7 targets_age_ms=3 sends=0 events=0 why="no-capacity: the queue is 9 ms long"
  5.5 edge-1 2026-01-11T20:30:33.4Z [INFO] run: id=ee cut route=r-<b> after_ms=9 routes=7 targets_age_ms=3 sends=1 events=4 why="target-lost: x"
  5.6 edge-1 2026-01-11T20:30:33.5Z [INFO] run: id=ff left route=r-a after_ms=9 routes=7 targets_age_ms=3 sends=1 events=0 why="the caller has gone"
+ 6.0 edge-1 2026-01-11T20:31:00.0Z [WARN] reach: service=s cut_off=yes targets=9 answered=0 relays=1 reached_by_others=9 lost_requests=false
+ 6.1 edge-1 2026-01-11T20:31:00.1Z [INFO] run: id=gg relayed to=edge-2 sends=0 left_ms=1900
+ 6.1 edge-2 2026-01-11T20:31:00.102Z [INFO] run: id=gg relayed from=edge-1 routes=7 sends=0 left_ms=1900
+ 6.2 edge-2 2026-01-11T20:31:00.2Z [INFO] run: id=gg for=edge-1 route=r-c status=200 late=no rank=1 prompt=9 output=2 first_ms=40 total_ms=50 gap_ms=2 sends=1 events=5
+ 6.2 edge-1 2026-01-11T20:31:00.201Z [INFO] run: id=gg route=r-c status=200 late=no rank=1 prompt=9 output=2 first_ms=41 total_ms=51 gap_ms=2 sends=1 events=5
 log: left_out=12
 garbage that no instance wrote
 "#;
@@ -47,12 +52,23 @@
     assert_eq!(request_timeline(&logs(), "a"), None);
 }
 
+#[test]
+fn timeline_follows_a_relayed_request_over_both_instances() {
+    let timeline = request_timeline(&logs(), "gg").unwrap();
+    let parts = ["reach: service=s cut_off=yes", "relayed to=edge-2", "relayed from=edge-1"];
+    let found: Vec<usize> = parts.iter().filter_map(|part| timeline.find(part)).collect();
+    assert!(found.len() == 3 && found.is_sorted(), "{timeline}");
+    assert!(timeline.contains("answered 200 by a target"), "{timeline}");
+}
+
 #[test]
 fn report_counts_each_end_by_route_and_window() {
     let report = BurnReport::from_logs(&logs(), 10.0);
     let ends = report.routes["r-a"][&0];
     let counts = RequestEnd::ALL.map(|e| ends.count(e));
     assert_eq!((counts, ends.total()), ([1, 1, 1, 0, 0], 3));
+    let relayed: usize = report.routes["r-c"].values().map(|ends| ends.total() as usize).sum();
+    assert_eq!(relayed, 1, "only the instance that its caller sent it to counts it");
     // A request abandoned by its caller uses up no error budget.
     assert_eq!(report.routes["r-a"][&1].total(), 0);
     assert_eq!(report.routes["r-<b>"][&1].count(RequestEnd::Failed), 1);
--- a/daemon/tests/fault_injection/callers.rs
+++ b/daemon/tests/fault_injection/callers.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Clone)]
 pub struct Exchange {
     pub id: String,
+    /// Address of the instance that got the request.
+    pub instance: SocketAddr,
     pub kind: RouteKind,
     /// Id of the request that brought the first event of the stream that this one resumes.
     pub resumes: Option<String>,
@@ -100,19 +102,19 @@
     history: Arc<Mutex<Vec<Exchange>>>,
     stopping: Arc<AtomicBool>,
 ) {
-    let mut connection: Option<Caller> = None;
+    let mut connection: Option<(SocketAddr, Caller)> = None;
     let mut cut_stream: Option<(String, u64)> = None;
     let mut count = 0;
     while !stopping.load(Ordering::Relaxed) {
-        let mut caller = match connection.take() {
-            Some(caller) => caller,
+        let (instance, mut caller) = match connection.take() {
+            Some(open) => open,
             None => {
                 let address = addresses[rng.gen_range(0..addresses.len())];
                 if TcpStream::connect(address).await.is_err() {
                     sleep(Duration::from_millis(50)).await;
                     continue;
                 }
-                Caller::connect(address).await
+                (address, Caller::connect(address).await)
             }
         };
         count += 1;
@@ -140,9 +142,9 @@
             .as_ref()
             .is_some_and(|r| r.complete && r.header("connection").is_none_or(|c| c != "close"));
         cut_stream = received_part(&id, kind, resumes.as_deref(), response.as_ref());
-        history.lock().unwrap().push(Exchange { id, kind, resumes, response });
+        history.lock().unwrap().push(Exchange { id, instance, kind, resumes, response });
         if reusable {
-            connection = Some(caller);
+            connection = Some((instance, caller));
         }
         sleep(Duration::from_millis(rng.gen_range(2..30))).await;
     }
--- a/daemon/tests/fault_injection/fault_plan.rs
+++ b/daemon/tests/fault_injection/fault_plan.rs
@@ -1,5 +1,5 @@
 use {
-    super::fleet::Fleet,
+    super::fleet::{Fleet, Instance},
     crate::platform::{Behavior, Mode},
     nix::sys::signal::Signal,
     rand::{rngs::StdRng, Rng, SeedableRng},
@@ -17,6 +17,15 @@
     ResetTarget(usize),
     /// Mode of the proxy between an instance and the store.
     StoreLink(usize, Mode),
+    /// Cuts instances off from all targets, which the others still reach.
+    CutOff {
+        /// How many instances, beginning with this one.
+        first: usize,
+        count: usize,
+        mode: Mode,
+        /// Whether open connections end.
+        reset: bool,
+    },
     StoreDown,
     CompactStore,
     /// Behaviors of a target for its next requests.
@@ -52,7 +61,10 @@
             .map(|_| {
                 let at = length.mul_f64(rng.gen());
                 let duration = Duration::from_millis(rng.gen_range(200..2_500));
-                (at, duration, random_fault(&mut rng))
+                let fault = random_fault(&mut rng);
+                // Cuts are longer than the time in which instances find them.
+                let cuts = matches!(fault, Fault::CutOff { .. });
+                (at, if cuts { duration * 2 } else { duration }, fault)
             })
             .collect();
         faults.sort_by_key(|(at, ..)| *at);
@@ -62,10 +74,11 @@
     /// Returns whether instances forget what a target said of itself, or the link to it is harmed, so
     /// that it may get requests later than it should.
     pub fn disturbs(&self, target: usize) -> bool {
-        use Fault::{Kill, Pause, TargetLink, Terminate};
+        use Fault::{CutOff, Kill, Pause, TargetLink, Terminate};
         self.faults.iter().any(|(_, _, fault)| match fault {
             Kill(_) | Pause(_) | Terminate(_) => true,
             TargetLink(i, _) => *i == target,
+            CutOff { .. } => true,
             _ => false,
         })
     }
@@ -107,7 +120,7 @@
         Mode::DropAll,
     ][rng.gen_range(0..4)];
     let (target, instance) = (rng.gen_range(0..4), rng.gen_range(0..3));
-    match rng.gen_range(0..13) {
+    match rng.gen_range(0..16) {
         0 => Fault::TargetLink(target, link_mode),
         1 => Fault::ResetTarget(target),
         2 => Fault::StoreLink(instance, link_mode),
@@ -122,6 +135,12 @@
         9 => Fault::Pause(instance),
         10 => Fault::Terminate(instance),
         11 => Fault::LeaveUnlisted(target),
+        12..=14 => Fault::CutOff {
+            first: instance,
+            count: rng.gen_range(1..3),
+            mode: [Mode::RefuseNew, Mode::RefuseNew, link_mode][rng.gen_range(0..3)],
+            reset: rng.gen(),
+        },
         _ if rng.gen() => Fault::Kill(instance),
         _ => Fault::Reload(instance),
     }
@@ -150,6 +169,10 @@
         Fault::TargetLink(i, mode) => fleet.links[*i].set_mode(*mode),
         Fault::ResetTarget(i) => fleet.links[*i].reset_connections(),
         Fault::StoreLink(i, mode) => fleet.instances[*i].store_link.set_mode(*mode),
+        Fault::CutOff { first, count, mode, reset } => {
+            let instances = fleet.instances.iter().cycle().skip(*first).take(*count);
+            instances.for_each(|instance| instance.cut_off(*mode, *reset));
+        }
         Fault::StoreDown => fleet.store.set_down(true),
         Fault::CompactStore => fleet.store.compact(),
         Fault::TargetBehaviors(i, behaviors) => {
@@ -183,6 +206,10 @@
             fleet.instances[*i].store_link.set_mode(Mode::Pass);
             fleet.instances[*i].store_link.reset_connections();
         }
+        Fault::CutOff { first, count, .. } => {
+            let instances = fleet.instances.iter().cycle().skip(*first).take(*count);
+            instances.for_each(Instance::restore_targets);
+        }
         Fault::StoreDown => fleet.store.set_down(false),
         Fault::LeaveUnlisted(i) => {
             fleet.store.set_down(false);
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -1,5 +1,5 @@
 use {
-    crate::platform::{config, Message, Mode, Proxy, Runner, Store},
+    crate::platform::{config, Message, Mode, Proxy, Runner, Store, View},
     lentil_fakes::deployment::free_address,
     nix::{
         sys::signal::{kill, Signal},
@@ -22,6 +22,10 @@
     /// Address of the readiness probe.
     probe: SocketAddr,
     pub store_link: Proxy,
+    /// Proxies of its own before the targets, in the same order.
+    pub target_links: Vec<Proxy>,
+    /// Addresses of the targets as it sees them: those of these proxies.
+    view: View,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -83,6 +87,22 @@
         self.spawn();
     }
 
+    /// Cuts the instance off from all targets. With `reset` its open connections end.
+    pub fn cut_off(&self, mode: Mode, reset: bool) {
+        for link in &self.target_links {
+            link.set_mode(mode);
+            if reset {
+                link.reset_connections();
+            }
+        }
+    }
+
+    /// Ends a cut from the targets.
+    pub fn restore_targets(&self) {
+        // A connection that lost bytes would wait forever for the rest.
+        self.cut_off(Mode::Pass, true);
+    }
+
     async fn is_ready(&self) -> bool {
         let probe = self.probe;
         let request = lentil_node::http::request(hyper::Method::GET, probe, "/readyz", "");
@@ -129,11 +149,16 @@
     }
 
     async fn start_instance(&self, i: usize) -> Instance {
-        let [front, probe, metrics, mesh] = std::array::from_fn(|_| free_address());
-        let store_link = Proxy::start(self.store.address).await;
+        let [front, probe, metrics, mesh, relay] = std::array::from_fn(|_| free_address());
+        let view = View::default();
+        let mut target_links = Vec::new();
+        for link in &self.links {
+            target_links.push(own_link(&view, link).await);
+        }
+        let store_link = Proxy::start(self.store.start_view(view.clone()).await).await;
         let settings = json!({
             "instance": format!("e-{i}"), "region": "r", "zone": "z", "listen": front,
-            "mesh": {"listen": mesh, "key": "0123456789abcdef", "beat": 100},
+            "mesh": {"listen": mesh, "key": "0123456789abcdef", "beat": 100, "relay": relay},
             "platform": {"store": store_link.address, "list": store_link.address},
             "hosted": {"ready": probe, "metrics": metrics, "zones": {"z": "r"},
                 "resends": {"ratio": 0.2, "slack": 50, "window": 10}, "drain": 2000, "grace": 6},
@@ -141,7 +166,16 @@
         let file = self.folder.join(format!("e-{i}.json"));
         fs::write(&file, settings.to_string()).unwrap();
         let log = self.folder.join(format!("e-{i}.log"));
-        let mut instance = Instance { front, probe, store_link, settings: file, log, child: None };
+        let mut instance = Instance {
+            front,
+            probe,
+            store_link,
+            target_links,
+            view,
+            settings: file,
+            log,
+            child: None,
+        };
         instance.spawn();
         instance
     }
@@ -164,6 +198,9 @@
         runner.set_event_interval(EVENT_INTERVAL);
         let link = Proxy::start(runner.address).await;
         self.restarts.spawn(restart_crashed(runner.clone(), link.address, self.store.clone()));
+        for instance in &mut self.instances {
+            instance.target_links.push(own_link(&instance.view, &link).await);
+        }
         self.targets.push(runner);
         self.links.push(link);
         self.register(self.targets.len() - 1, "ready");
@@ -195,6 +232,7 @@
         }
         for instance in &mut self.instances {
             instance.store_link.set_mode(Mode::Pass);
+            instance.restore_targets();
             instance.signal(Signal::SIGCONT);
             if !matches!(instance.child.as_mut().map(Child::try_wait), Some(Ok(None))) {
                 instance.spawn();
@@ -232,6 +270,13 @@
     }
 }
 
+/// Starts a proxy of one instance before the proxy of a target.
+async fn own_link(view: &View, link: &Proxy) -> Proxy {
+    let own = Proxy::start(link.address).await;
+    view.replace(link.address, own.address);
+    own
+}
+
 fn register(runner: &Runner, address: SocketAddr, state: &str, store: &Store) {
     let entry = json!({
         "service": "s", "address": address, "zone": "z", "version": runner.software(), "slots": 8,
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -97,6 +97,13 @@
         leaving.len(),
         resumed.len()
     );
+    let by_instance = fleet.addresses().into_iter().map(|address| {
+        let here = history.iter().filter(|e| e.instance == address && e.resumes.is_none());
+        let served = here.clone().filter(|e| check::is_served(e)).count();
+        format!("{served}/{}", here.count())
+    });
+    let by_instance: Vec<String> = by_instance.collect();
+    println!("soak: seed={seed} first_tries_by_instance={}", by_instance.join(","));
     if !found.is_empty() {
         faults.iter().for_each(|line| println!("soak: seed={seed} {line}"));
         println!("soak: seed={seed} logs in {}", fleet.folder().display());
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -19,8 +19,9 @@
         let first = self.first_token.map_or(0, |t| (t - request.arrived).as_millis());
         let late = if self.is_late() { "yes" } else { "no" };
         log::info!(
-            "run: id={} route={} status={} late={late} rank={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
+            "run: id={}{} route={} status={} late={late} rank={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
             proxied.request.id,
+            request.relayed_text(),
             request.class,
             self.status,
             request.routing.rank,
@@ -39,8 +40,9 @@
         let waited = (self.app.now() - self.request.arrived).as_millis();
         let age = (self.app.now() - self.app.fleet().last_read).as_millis();
         log::info!(
-            "run: id={} {how} route={} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
+            "run: id={}{} {how} route={} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
             proxied.request.id,
+            self.request.relayed_text(),
             self.request.class,
             proxied.version,
             self.runs_sent,
@@ -85,15 +87,14 @@
         let (service, class) = (request.routing.model.as_str(), request.class.as_str());
         let now = self.app.now();
         let first = self.first_token.unwrap_or(now) - request.arrived;
-        self.app.metrics.first_token.with_label_values(&[class]).observe(first.as_secs_f64());
-        self.app
-            .metrics
-            .token_gap
-            .with_label_values(&[class])
-            .observe(self.longest_gap.as_secs_f64());
         let good = self.status < 400;
-        let missed = (!good).then_some("status").or(self.is_late().then_some("late"));
-        self.app.metrics.record_end(service, class, if good { "whole" } else { "failure" }, missed);
+        // The instance that its caller sent it to counts it.
+        if request.relayed.is_none() {
+            let metrics = &self.app.metrics;
+            metrics.record_times(class, first, self.longest_gap);
+            let missed = (!good).then_some("status").or(self.is_late().then_some("late"));
+            metrics.record_end(service, class, if good { "whole" } else { "failure" }, missed);
+        }
         if good {
             self.app.quarantine().clear(request.fingerprint);
             self.clear_parts();
@@ -109,6 +110,11 @@
 }
 
 impl super::RunRequest {
+    /// Returns the field of an end line that names the instance for which the request is served.
+    fn relayed_text(&self) -> String {
+        self.relayed.as_ref().map_or_else(String::new, |r| format!(" for={}", r.instance))
+    }
+
     /// Returns the request's id in logs: the one that the caller gave, or else the run's.
     pub(super) fn log_id<'a>(&'a self, run: &'a RunId) -> &'a str {
         self.proxied.as_ref().map_or(run.as_str(), |r| &r.request.id)
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -196,6 +196,9 @@
     pub(super) fn caller_left(self) {
         self.log_early_end("left", "the caller has disconnected");
         let request = &self.request;
+        if request.relayed.is_some() {
+            return;
+        }
         let service = request.routing.model.as_str();
         self.app
             .metrics
@@ -216,7 +219,9 @@
         let request = &self.request;
         let (service, class) = (request.routing.model.as_str(), request.class.as_str());
         let code = fault.kind.answer().code;
-        self.app.metrics.record_end(service, class, code, Some(code));
+        if request.relayed.is_none() {
+            self.app.metrics.record_end(service, class, code, Some(code));
+        }
         // The caller may have disconnected.
         let _ = self.sender.send(Err(fault)).await;
     }
