--- a/core/src/reach/service_reach.rs
+++ b/core/src/reach/service_reach.rs
@@ -9,6 +9,8 @@
 const MAX_SILENCE: Duration = Duration::from_secs(1);
 /// Number of targets that fail in a row, with no sign of any in between, from which all are asked.
 const SUSPICIOUS_FAILURES: usize = 2;
+/// Time without a sign of any target from which a single failure is enough.
+const SUSPICIOUS_SILENCE: Duration = Duration::from_millis(250);
 /// Shortest time between two checks. While all targets are down, each check asks them in vain.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks whether a service is reached again.
@@ -95,8 +97,9 @@
         if !self.failed.contains(target) {
             self.failed.push(target.clone());
         }
-        let enough = self.failed.len() >= SUSPICIOUS_FAILURES.min(targets.max(1));
-        enough && self.cut.is_none() && self.check_allowed(now)
+        let several = self.failed.len() >= SUSPICIOUS_FAILURES.min(targets.max(1));
+        let silent = self.waiting > 0 && now - self.quiet_since >= SUSPICIOUS_SILENCE;
+        (several || silent) && self.cut.is_none() && self.check_allowed(now)
     }
 
     fn check_allowed(&self, now: Time) -> bool {
--- a/core/src/reach/tests.rs
+++ b/core/src/reach/tests.rs
@@ -28,6 +28,16 @@
     assert!(reach.record_failure(&engine(2), 4, at(12)));
 }
 
+#[test]
+fn record_failure_suspects_after_one_target_if_nothing_is_heard() {
+    for (silence, suspected) in [(249, false), (250, true)] {
+        let mut reach = ServiceReach::default();
+        reach.record_sign(at(900));
+        reach.record_send(at(1_000));
+        assert_eq!(reach.record_failure(&engine(1), 4, at(1_000 + silence)), suspected);
+    }
+}
+
 #[test]
 fn record_failure_is_forgotten_once_a_target_is_heard() {
     let mut reach = ServiceReach::default();
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -167,6 +167,9 @@
         service
     };
     let heard = || app.reach().of(&service).last_sign().is_some_and(|at| at > began);
+    if app.reach().is_cut_off(&service) {
+        return OtherTargets::Quiet;
+    }
     if !heard() {
         begin_check(app, &service).await;
     }
