--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -1,23 +1,20 @@
 use {
     super::{
         engine_choice::{EngineChoice, MigratedRun},
-        export::Export,
         in_flight::InFlightGuard,
         send::MAX_DENIALS,
         task::Task,
         AnswerSource, Piece,
     },
     crate::{
-        app::{random_id, SendGate},
-        ports::{
-            Answer, AnswerHead, AnswerPart, CacheSource, EngineError, Job, ProxyAttempt, Target,
-        },
+        app::random_id,
+        ports::{Answer, AnswerHead, AnswerPart, EngineError, Target},
     },
     futures_util::StreamExt,
     lentil_core::{
         error::{ErrorKind, Fault, Outcome},
-        gate::{Denial, SendKind},
-        ids::{RunId, Tokens},
+        gate::Denial,
+        ids::RunId,
         stream::{Chunk, StreamCheck, Ticket},
     },
     std::sync::Arc,
@@ -40,10 +37,10 @@
 /// One attempt to run a request on the engines chosen for it.
 pub(super) struct Attempt<'a> {
     pub(super) task: &'a mut Task,
-    choice: EngineChoice,
-    run: RunId,
+    pub(super) choice: EngineChoice,
+    pub(super) run: RunId,
     /// The run that this one continues on another engine.
-    migrated: Option<MigratedRun>,
+    pub(super) migrated: Option<MigratedRun>,
     /// Head of the answer, held back until the first piece arrives: until then the request can be
     /// retried on another target.
     head: Option<AnswerHead>,
@@ -94,167 +91,6 @@
         }
     }
 
-    /// Sends the request to the decode engine, and waits for the head of its answer.
-    async fn send_run(
-        &mut self,
-        mut export: Option<&mut Export>,
-    ) -> Result<(Answer, InFlightGuard), AttemptEnd> {
-        let target = self.choice.decode.clone();
-        let permit = self.task.acquire_permit(&target).await.map_err(AttemptEnd::Denied)?;
-        let prefilled = export.as_ref().and_then(|e| e.source());
-        let prefill_here = if prefilled.is_some() { Tokens(0) } else { self.choice.prefill_tokens };
-        let cache = prefilled.or_else(|| self.migrated.as_ref().map(MigratedRun::source));
-        let kind = if cache.is_some() { SendKind::Decode } else { SendKind::Run };
-        let gate = self.gate(&target, kind, permit);
-        let routing = &self.task.request.routing;
-        let guard = InFlightGuard::new(
-            &self.task.app,
-            &routing.model,
-            &target.id,
-            (prefill_here, routing.rank),
-        );
-        let job = self.job(&target, cache);
-        let engines = self.task.app.ports.engines.clone();
-        self.task.log_send(&target);
-        // From here on a cancelled attempt may have run.
-        let ran_before = std::mem::replace(&mut self.task.maybe_ran, true);
-        self.task.runs_sent += 1;
-        let running_before = self.task.running_at.replace((target.clone(), self.task.app.now()));
-        match engines.generate(&target, job, &|| gate.check()).await {
-            Ok(answer) => {
-                self.task.record_sign(&target);
-                if let Some(export) = &mut export {
-                    export.mark_fetched();
-                }
-                if self.task.last_event.is_some() {
-                    self.task.app.metrics.resumes.inc();
-                }
-                Ok((answer, guard))
-            }
-            Err(error) => {
-                if error.not_run() {
-                    self.task.maybe_ran = ran_before;
-                }
-                if error.not_sent() {
-                    self.task.runs_sent -= 1;
-                }
-                if let EngineError::Denied(denial) = error {
-                    self.task.running_at = running_before;
-                    self.task.cancel_send(&target);
-                    return Err(AttemptEnd::Denied(denial));
-                }
-                Err(AttemptEnd::Failed(self.record_error(&target, &error).await))
-            }
-        }
-    }
-
-    /// Returns the check that is made right before the first byte goes to the target.
-    fn gate(&self, target: &Target, kind: SendKind, permit: bool) -> SendGate {
-        let request = &self.task.request;
-        // Only the engine that prefills fetches cached blocks.
-        let fetches = kind != SendKind::Decode && request.proxied.is_some();
-        let source = self.choice.fetch_from.as_ref().filter(|_| fetches);
-        SendGate {
-            app: self.task.app.clone(),
-            id: request.log_id(&self.run).to_owned(),
-            kind,
-            target: target.clone(),
-            software: request.routing.software.clone(),
-            source: source.map(|s| s.id.clone()),
-            permit,
-            fingerprint: request.fingerprint,
-            parts: if self.task.trial { &[] } else { request.shared_parts() }.into(),
-        }
-    }
-
-    fn job(&self, target: &Target, cache: Option<CacheSource>) -> Job {
-        let request = &self.task.request;
-        Job {
-            run: self.run.clone(),
-            model: request.routing.model.clone(),
-            adapter: request.routing.adapter.clone(),
-            prompt: request.prompt.clone(),
-            done: self.task.sent_tokens.clone(),
-            max: request.max_tokens,
-            priority: request.routing.class.priority,
-            cache,
-            proxied: self.proxy_attempt(target),
-        }
-    }
-
-    fn proxy_attempt(&self, target: &Target) -> Option<ProxyAttempt> {
-        let proxied = self.task.request.proxied.as_ref()?;
-        Some(ProxyAttempt {
-            request: proxied.request.clone(),
-            target: target.id.clone(),
-            remaining: proxied.deadline - self.task.app.now(),
-            rank: self.task.request.routing.rank,
-            last_event: self.task.last_event.or(proxied.last_event),
-            streams: proxied.route.streams,
-            fetch: self.choice.fetch_from.as_ref().map(|s| s.address),
-        })
-    }
-
-    /// Prefills the prompt if a separate engine was chosen for that; returns its KV cache, kept for
-    /// export.
-    async fn prefill(&mut self) -> Result<Option<Export>, AttemptEnd> {
-        if self.migrated.is_some() {
-            return Ok(None);
-        }
-        let Some(target) = self.choice.prefill.clone() else { return Ok(None) };
-        let permit = self.task.acquire_permit(&target).await.map_err(AttemptEnd::Denied)?;
-        let app = self.task.app.clone();
-        let gate = self.gate(&target, SendKind::Prefill, permit);
-        self.task.prefills_sent += 1;
-        let idle = app.fleet().engine(&target.id).is_none_or(|e| e.load.idle(app.now()));
-        let routing = &self.task.request.routing;
-        let work = (self.choice.prefill_tokens, routing.rank);
-        let guard = InFlightGuard::new(&app, &routing.model, &target.id, work);
-        let start = app.now();
-        let job = self.job(&target, None);
-        self.task.running_at = Some((target.clone(), start));
-        match app.ports.engines.prefill(&target, job, &|| gate.check()).await {
-            Ok(run) => {
-                drop(guard);
-                self.task.record_sign(&target);
-                self.task.record_success(&target);
-                self.task.record_prefix_ready(&target);
-                let elapsed = app.now() - start;
-                // An assumed hit may have been none, and then the engine read more.
-                if idle && !self.choice.assumed {
-                    self.observe_prefill_rate(elapsed);
-                }
-                let id = self.task.request.log_id(&self.run);
-                let (tokens, ms) = (self.choice.prefill_tokens, elapsed.as_millis());
-                log::info!(
-                    "run: id={id} prefilled at={} tokens={tokens} idle={idle} ms={ms}",
-                    target.id
-                );
-                Ok(Some(Export::new(&app, target, run)))
-            }
-            Err(EngineError::Denied(denial)) => {
-                self.task.prefills_sent -= 1;
-                self.task.running_at = None;
-                self.task.cancel_send(&target);
-                Err(AttemptEnd::Denied(denial))
-            }
-            Err(error) => {
-                self.task.maybe_ran |= !error.not_run() && self.task.request.proxied.is_none();
-                Err(AttemptEnd::Failed(self.record_error(&target, &error).await))
-            }
-        }
-    }
-
-    /// Records the prefill rate measured on an idle engine; short prompts are ignored.
-    fn observe_prefill_rate(&self, elapsed: std::time::Duration) {
-        let tokens = self.choice.prefill_tokens.0 as f64;
-        let model = &self.task.request.routing.model;
-        let rate = tokens / elapsed.as_secs_f64().max(1e-6);
-        if self.choice.prefill_tokens >= super::task::MIN_RATE_TOKENS {
-            self.task.app.fleet().update_rates(model, |rates| rates.prefill.observe(rate));
-        }
-    }
-
     /// Forwards the answer to the caller until it ends, fails, or the run migrates.
     async fn forward(&mut self, answer: Answer, mut guard: Option<InFlightGuard>) -> AttemptEnd {
         let Answer { head, software, mut parts } = answer;
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -11,6 +11,7 @@
 mod isolation;
 mod permit;
 mod piece;
+mod prefill;
 mod proxied;
 mod relay;
 mod request;
