--- a/node/src/app/announcements.rs
+++ b/node/src/app/announcements.rs
@@ -69,6 +69,10 @@
     }
 
     fn record_answer(&self, target: &Target, announced: &Announcement, sent: Time) {
+        let service = self.fleet().engine(&target.id).map(|e| e.model.clone());
+        if let Some(service) = service {
+            self.reach().of(&service).record_sign(self.now());
+        }
         if announced.leaving {
             self.record_leaving(target);
         }
--- a/node/src/http/client.rs
+++ b/node/src/http/client.rs
@@ -182,11 +182,11 @@
         request: Request<Body>,
         timeout: Duration,
     ) -> Result<BufferedResponse, CallError> {
-        self.exchange_observed(request, timeout, |_, _| {}).await
+        self.exchange_observed(request, timeout, MAX_RESPONSE_BYTES, |_, _| {}).await
     }
 
-    /// Like [`Self::exchange`], and passes status and headers to `observe` as soon as they are there,
-    /// whatever becomes of the body.
+    /// Like [`Self::exchange`] for a body of at most `limit` bytes, and passes status and headers to
+    /// `observe` as soon as they are there, whatever becomes of the body.
     ///
     /// # Errors
     /// Returns [`CallError`] if the request fails.
@@ -194,6 +194,7 @@
         self,
         request: Request<Body>,
         timeout: Duration,
+        limit: usize,
         observe: impl FnOnce(u16, &HeaderMap),
     ) -> Result<BufferedResponse, CallError> {
         let address = self.address;
@@ -202,9 +203,8 @@
             let (head, body) = response.into_parts();
             let status = head.status.as_u16();
             observe(status, &head.headers);
-            let body = read_all(body, MAX_RESPONSE_BYTES)
-                .await
-                .map_err(|e| CallError::Lost(address, e.to_string()))?;
+            let body =
+                read_all(body, limit).await.map_err(|e| CallError::Lost(address, e.to_string()))?;
             Ok(BufferedResponse { status, headers: head.headers, body })
         };
         tokio::time::timeout(timeout, exchange).await.map_err(|_| CallError::Timeout(address))?
