A cut ends once no other instance reaches the service either

Callers were refused all the same. The state ends now, and the checks of an outage go on. New test of the decision.

--- a/core/src/reach/check.rs
+++ b/core/src/reach/check.rs
@@ -24,6 +24,11 @@
         self.asked > 0 && self.answered == 0 && self.others > 0
     }
 
+    /// Returns whether no target answers, and no other instance reaches one.
+    pub fn is_outage(&self) -> bool {
+        self.asked > 0 && self.answered == 0 && self.others == 0
+    }
+
     /// Returns whether enough targets answer to send them all requests again: half of those that were
     /// asked, or that others reach. Fewer would get the load of all.
     pub fn is_back(&self) -> bool {
--- a/core/src/reach/service_reach.rs
+++ b/core/src/reach/service_reach.rs
@@ -58,6 +58,8 @@
     CutOff,
     /// It reaches the service again, after this time.
     Back(Duration),
+    /// It is not the only one any more: no other instance reaches the service either.
+    Outage,
 }
 
 /// A check that is due.
@@ -157,6 +159,10 @@
                 self.failed.clear();
                 Some(ReachChange::Back(now - cut.since))
             }
+            Some(_) if check.is_outage() => {
+                self.cut = None;
+                Some(ReachChange::Outage)
+            }
             _ => None,
         }
     }
--- a/core/src/reach/tests.rs
+++ b/core/src/reach/tests.rs
@@ -93,6 +93,16 @@
     assert_eq!(ServiceReach::default().record_check(&down, at(1_000)), None);
 }
 
+#[test]
+fn record_check_ends_a_cut_once_nobody_reaches_the_service() {
+    let mut reach = ServiceReach::default();
+    reach.record_check(&CUT, at(1_000));
+    let outage = ReachCheck { others: 0, ..CUT };
+    assert_eq!(reach.record_check(&outage, at(1_500)), Some(ReachChange::Outage));
+    assert!(!reach.is_cut_off());
+    assert_eq!(reach.record_check(&CUT, at(2_500)), Some(ReachChange::CutOff));
+}
+
 #[test]
 fn take_due_check_repeats_a_check_that_no_target_answered() {
     let mut reach = ServiceReach::default();
@@ -206,6 +216,6 @@
         let mut cut = ServiceReach::default();
         cut.record_check(&CUT, at(1_000));
         cut.record_check(&check, at(2_000));
-        prop_assert!(cut.is_cut_off() || answered > 0);
+        prop_assert!(cut.is_cut_off() || answered > 0 || others == 0);
     }
 }
--- a/node/src/reach/check.rs
+++ b/node/src/reach/check.rs
@@ -73,7 +73,7 @@
     let (probed, ()) =
         tokio::join!(probe(app, service, &first, RETURN_PROBES), ask_once(app, service));
     if probed.answered.is_empty() {
-        return;
+        return record(app, service, &probed);
     }
     let targets = sample(app, service, MAX_PROBED);
     let probed = probe(app, service, &targets, targets.len()).await;
@@ -111,7 +111,10 @@
                 }
             }
         }
-        None if answered == 0 => {
+        Some(ReachChange::Outage) => {
+            log::warn!("reach: service={service} cut_off=no targets={asked} answered=0 relays=0");
+        }
+        None if answered == 0 && others == 0 => {
             log::info!(
                 "reach: service={service} checked targets={asked} answered=0 relays={relays}"
             );
