Shared fleets: design page, port and client of the platform's API, configuration of ordered targets

The platform takes usage reports and orders for targets from one instance at a time. The port, its adapter, the settings (hosted.api, hosted.keys) and the decoded autoscale section come first, so that the parts in docs/design/shared-fleet.md can be built side by side.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod routes;
 pub mod settings;
 pub mod stream;
+pub mod usage;
--- a/core/src/routes/service.rs
+++ b/core/src/routes/service.rs
@@ -1,4 +1,7 @@
-use crate::ids::{Bytes, Millis, Tokens};
+use {
+    crate::ids::{Bytes, Millis, Tokens, Zone},
+    std::collections::BTreeMap,
+};
 
 /// Configuration of a service.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -8,6 +11,25 @@
     pub connections: u32,
     /// Engine configuration, if the targets are model engines.
     pub engine: Option<EngineConfig>,
+    /// Bounds and prices of targets that are ordered by demand; a service without them keeps its
+    /// fixed fleet.
+    pub scaling: Option<ScalingConfig>,
+}
+
+/// Configuration of a service whose targets are ordered by demand.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ScalingConfig {
+    /// Fewest targets in each availability zone.
+    pub min: u32,
+    /// Most targets in each availability zone.
+    pub max: u32,
+    /// Time from the order for a target until it serves.
+    pub boot: Millis,
+    /// Price of a target that may be reclaimed, relative to that of another one; `None` if there
+    /// are no such targets.
+    pub spot: Option<f64>,
+    /// Price of a target in each availability zone.
+    pub prices: BTreeMap<Zone, f64>,
 }
 
 /// Configuration of a service whose targets are model engines.
@@ -23,6 +45,9 @@
     pub handle_ttl: Millis,
     /// Time for which a role change makes an engine unavailable.
     pub role_change: Millis,
+    /// Bandwidth of an engine's link for transfers of KV caches, in bytes per second; zero if
+    /// unknown.
+    pub link: f64,
 }
 
 /// Limits on callers' requests and connections.
--- a/core/src/settings/hosted.rs
+++ b/core/src/settings/hosted.rs
@@ -1,4 +1,5 @@
 use {
+    super::{ApiSettings, KeySettings},
     crate::{
         ids::{Millis, Region, Zone},
         manifest::Problem,
@@ -23,6 +24,12 @@
     pub drain: Millis,
     /// Time between the stop signal and the forced end of the process, in seconds.
     pub grace: f64,
+    /// The platform's API for reports and orders, if there is one.
+    #[serde(default)]
+    pub api: Option<ApiSettings>,
+    /// Bounds on the validity of callers' keys.
+    #[serde(default)]
+    pub keys: Option<KeySettings>,
     /// Lease duration of this instance's presence record.
     #[serde(default = "default_presence_ttl")]
     pub presence: Millis,
@@ -71,6 +78,7 @@
         require(self.resends.window > 0.0, "hosted.resends.window", "must be greater than 0");
         require(self.crowd >= 2, "hosted.crowd", "must be at least 2");
         require(self.presence.0 >= 1_000, "hosted.presence", "must be at least 1000 ms");
+        problems.extend(self.api.iter().flat_map(ApiSettings::check));
         problems
     }
 }
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -17,7 +17,7 @@
         control::CellLeases,
         mesh::{FrameCodec, Questions},
         metrics::Metrics,
-        ports::{ConfigStore, Engine, InstanceList, PlainService, WeightStore},
+        ports::{ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore},
         reach::ReachChecks,
         relay::RelayLinks,
         run::Investigations,
@@ -59,6 +59,8 @@
     pub engines: Arc<dyn Engine>,
     /// Client of the plain services.
     pub services: Arc<dyn PlainService>,
+    /// Client of the platform's API, if the platform has one.
+    pub api: Option<Arc<dyn PlatformApi>>,
 }
 
 /// Stage of an instance between start and stop.
--- a/node/src/daemon/args.rs
+++ b/node/src/daemon/args.rs
@@ -54,6 +54,7 @@
         weights,
         engines: Arc::new(HttpEngine::new(timeout, settings.control.order.duration())),
         services: Arc::new(HttpService),
+        api: None,
     }
 }
 
--- a/node/src/ports/mod.rs
+++ b/node/src/ports/mod.rs
@@ -5,11 +5,13 @@
 mod directory;
 mod engine;
 mod list;
+mod platform_api;
 mod service;
 mod store;
 mod target;
 mod weights;
 
 pub use {
-    announcement::*, directory::*, engine::*, list::*, service::*, store::*, target::*, weights::*,
+    announcement::*, directory::*, engine::*, list::*, platform_api::*, service::*, store::*,
+    target::*, weights::*,
 };
