Removals after a cut of one instance are not taken for entries that expired in an outage

Cause: after failed reads of the directory, entries that were gone counted as expired for 2.1 s after the reads worked again, also removals that a watch reported later and cuts of this instance alone. Change: the decision is MissingTargets in core. Fewer than half of the targets missing from the first complete read means that they have left. A removal that a later read shows is in force by the drain bound, counted from the read before it.

--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod in_flight;
 mod load;
+mod missing_targets;
 mod prefix;
 mod prefix_locations;
 mod queued_tokens;
@@ -14,8 +15,9 @@
 mod target_notices;
 
 pub use {
-    availability::*, cache::*, engine::*, in_flight::*, load::*, prefix::*, prefix_locations::*,
-    queued_tokens::*, registration::*, running_mean::*, software_history::*, target_notices::*,
+    availability::*, cache::*, engine::*, in_flight::*, load::*, missing_targets::*, prefix::*,
+    prefix_locations::*, queued_tokens::*, registration::*, running_mean::*, software_history::*,
+    target_notices::*,
 };
 
 #[cfg(test)]
--- a/core/src/fleet/tests.rs
+++ b/core/src/fleet/tests.rs
@@ -4,6 +4,7 @@
         clock::Time,
         ids::{EngineId, PrefixHash, Rank, Tokens},
     },
+    std::time::Duration,
 };
 
 fn stored(number: u64, block: u64) -> CacheEvent {
@@ -114,3 +115,32 @@
     locations.remove_engine(&engine);
     assert_eq!(locations.copies(prefix, at(60_000)).count(), 0);
 }
+
+#[test]
+fn record_removed_ends_the_grace_by_the_drain_bound() {
+    let at = |s: f64| Time::from_secs_f64(s);
+    let mut missing = MissingTargets::new(Duration::from_secs(2));
+    let id: EngineId = "a".parse().unwrap();
+    assert!(missing.record_removed(&id, at(0.0), at(1.0)), "no outage");
+    missing.record_outage(at(10.0));
+    assert!(!missing.record_removed(&id, at(10.0), at(11.0)));
+    assert_eq!(missing.next_due(), Some(at(11.7)), "earlier than the end of the grace at 12 s");
+    assert!(missing.take_due(at(11.6)).is_empty());
+    missing.record_present(&id);
+    assert!(missing.take_due(at(20.0)).is_empty(), "registered again");
+    missing.record_outage(at(20.0));
+    assert!(missing.record_removed(&id, at(18.0), at(20.5)), "the bound has passed");
+}
+
+#[test]
+fn record_unlisted_keeps_most_targets_for_the_grace() {
+    let at = |s: f64| Time::from_secs_f64(s);
+    let ids: Vec<EngineId> = ["a", "b", "c"].iter().map(|i| i.parse().unwrap()).collect();
+    let mut missing = MissingTargets::new(Duration::from_secs(2));
+    assert_eq!(missing.record_unlisted(ids.clone(), 3, at(0.0)), ids, "no outage");
+    missing.record_outage(at(10.0));
+    assert!(missing.record_unlisted(ids.clone(), 4, at(10.0)).is_empty());
+    let two = ids[..2].to_vec();
+    assert!(missing.record_unlisted(two, 9, at(10.5)).is_empty(), "missing ones keep their time");
+    assert_eq!(missing.take_due(at(12.0)).len(), 3);
+}
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -6,16 +6,12 @@
     },
     lentil_core::{
         clock::Time,
-        fleet::{TargetBatch, TargetChange},
+        fleet::{MissingTargets, TargetBatch, TargetChange},
         ids::{EngineId, Revision},
         limit::Backoff,
         mesh::Update,
     },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -36,8 +32,6 @@
 /// The same for an instance that gets the changes from another one: after the outage they are relayed
 /// to it, or it reads within the time in which it may still act on what it knew.
 const MAX_RELAYED_BACKOFF: Duration = Duration::from_millis(2_000);
-/// Time after an outage within which targets whose entries expired register again.
-const REREGISTER_TIME: Duration = Duration::from_millis(2_100);
 /// Interval between two reads of all targets, in case a change was never reported.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -47,10 +41,10 @@
 /// to the others. An instance that has received nothing from it for a while reads the directory
 /// itself, so that nothing depends on the watcher.
 pub async fn follow_targets(app: Arc<App>, directory: Arc<dyn Directory>) {
-    let mut follower = Follower::default();
+    let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.duration());
+    let mut follower = Follower::new(drain);
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     let mut relayed_backoff = Backoff::new(MIN_BACKOFF, MAX_RELAYED_BACKOFF);
-    let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.duration());
     let mut relayed = app.relayed_targets.subscribe();
     loop {
         let watcher = relay::is_region_watcher(&app);
@@ -88,17 +82,16 @@
 type RelayedTargets = watch::Receiver<Arc<Vec<TargetBatch>>>;
 
 /// Progress in following the directory.
-#[derive(Default)]
 struct Follower {
     /// Revision up to which changes were applied; `None` if all targets must be read next.
     revision: Option<Revision>,
     /// When all targets were last read.
     full_read: Option<Time>,
-    /// When the directory last failed, or recovered from that.
-    last_outage: Option<Time>,
+    /// When the latest read that succeeded began: what it does not show happened later.
+    listed: Time,
     failing: bool,
-    /// Targets whose entries are gone since an outage and may return, with the time of removal.
-    missing: BTreeMap<EngineId, Time>,
+    /// Targets whose entries are gone since an outage and may return.
+    missing: MissingTargets,
     /// Latest changes that this instance read itself.
     relay: ChangeRelay,
     /// When another instance last relayed changes that continue those applied here.
@@ -106,6 +99,18 @@
 }
 
 impl Follower {
+    fn new(drain: Duration) -> Self {
+        Self {
+            revision: None,
+            full_read: None,
+            listed: Time::ZERO,
+            failing: false,
+            missing: MissingTargets::new(drain),
+            relay: ChangeRelay::default(),
+            last_relayed: None,
+        }
+    }
+
     /// Returns the time for which nothing needs to be read, since another instance relays changes.
     fn relay_valid_for(&self, now: Time) -> Option<Duration> {
         let (until, read) = (self.last_relayed? + relay::RELAY_VALIDITY, self.full_read?);
@@ -137,6 +142,7 @@
         }
         let now = app.now();
         self.last_relayed = Some(now);
+        self.listed = now;
         app.fleet().last_read = now;
         self.remove_missing(app);
     }
@@ -148,17 +154,20 @@
         wait: Duration,
     ) -> Result<(), DirectoryError> {
         let now = app.now();
+        let listed = now;
         let stale = self.full_read.is_none_or(|t| now - t > FULL_READ_INTERVAL);
         let found = match self.revision.filter(|_| !stale) {
             Some(at) => directory.target_changes(at, self.cap_wait(wait, now)).await?,
             None => {
                 let all = directory.targets().await?;
                 self.full_read = Some(now);
-                self.remove_unlisted(app, &all);
                 all
             }
         };
         self.record_recovery(app);
+        if self.revision.is_none() || stale {
+            self.remove_unlisted(app, &found);
+        }
         // A full read has no list of changes: instances at an older revision must read themselves.
         let (from, changes) = match self.revision.filter(|_| !stale) {
             Some(at) => (at, found.changes.clone()),
@@ -170,16 +179,14 @@
         for change in found.changes {
             self.apply(app, change);
         }
+        self.listed = listed;
         self.remove_missing(app);
         Ok(())
     }
 
     /// Shortens a wait so that it ends when missing targets are to be removed.
     fn cap_wait(&self, time: Duration, now: Time) -> Duration {
-        match self.last_outage.filter(|_| !self.missing.is_empty()) {
-            Some(outage) => time.min((outage + REREGISTER_TIME) - now),
-            None => time,
-        }
+        self.missing.next_due().map_or(time, |due| time.min(due - now))
     }
 
     fn record_failure(&mut self, app: &App, error: &DirectoryError) {
@@ -188,7 +195,7 @@
         if *error == DirectoryError::HistoryExpired {
             return log::info!("directory: the change history is gone, reading all targets again");
         }
-        self.last_outage = Some(app.now());
+        self.missing.record_outage(app.now());
         if !self.failing {
             log::warn!("directory: lost: {error}");
         }
@@ -198,7 +205,7 @@
     fn record_recovery(&mut self, app: &App) {
         if self.failing {
             log::info!("directory: regained");
-            self.last_outage = Some(app.now());
+            self.missing.record_outage(app.now());
         }
         self.failing = false;
     }
@@ -214,15 +221,20 @@
             })
             .collect();
         let known: Vec<EngineId> = app.fleet().engines.iter().map(|e| e.id.clone()).collect();
-        for id in known.into_iter().filter(|id| !listed.contains(id)) {
-            self.remove(app, id);
+        let count = known.len();
+        let gone: Vec<EngineId> = known.into_iter().filter(|id| !listed.contains(id)).collect();
+        if !gone.is_empty() {
+            log::info!("directory: {} of {count} targets are not listed any more", gone.len());
+        }
+        for id in self.missing.record_unlisted(gone, count, app.now()) {
+            deregister(app, &id);
         }
     }
 
     fn apply(&mut self, app: &App, change: TargetChange) {
         match change {
             TargetChange::Present(target) => {
-                self.missing.remove(&target.id);
+                self.missing.record_present(&target.id);
                 let now = app.now();
                 let (changed, new_version) = {
                     let mut fleet = app.fleet();
@@ -252,36 +264,28 @@
                     );
                 }
             }
-            TargetChange::Gone(id) => self.remove(app, id),
-        }
-    }
-
-    /// Removes a target, or lists it as missing during [`REREGISTER_TIME`] after an outage.
-    fn remove(&mut self, app: &App, id: EngineId) {
-        let now = app.now();
-        let may_return = self.last_outage.is_some_and(|t| now - t < REREGISTER_TIME);
-        if may_return {
-            self.missing.entry(id).or_insert(now);
-        } else if app.fleet().deregister(&id, now) {
-            app.targets_changed.notify_one();
-            log::info!("directory: target={id} gone");
+            TargetChange::Gone(id) => {
+                if self.missing.record_removed(&id, self.listed, app.now()) {
+                    deregister(app, &id);
+                }
+            }
         }
     }
 
-    /// Removes targets that did not register again within [`REREGISTER_TIME`] after an outage.
+    /// Removes the targets that did not register again in time.
     fn remove_missing(&mut self, app: &App) {
-        let now = app.now();
-        if self.last_outage.is_some_and(|t| now - t < REREGISTER_TIME) {
-            return;
-        }
-        for (id, since) in std::mem::take(&mut self.missing) {
-            if app.fleet().deregister(&id, now) {
+        for (id, missed) in self.missing.take_due(app.now()) {
+            if app.fleet().deregister(&id, app.now()) {
                 app.targets_changed.notify_one();
-                log::info!(
-                    "directory: target={id} gone, missing for {} ms",
-                    (now - since).as_millis()
-                );
+                log::info!("directory: target={id} gone, missing for {} ms", missed.as_millis());
             }
         }
     }
 }
+
+fn deregister(app: &App, id: &EngineId) {
+    if app.fleet().deregister(id, app.now()) {
+        app.targets_changed.notify_one();
+        log::info!("directory: target={id} gone");
+    }
+}
