Investigations of failed targets begin no checks of the service, and share what other targets answer

Cause (read, not measured): in an outage of all targets each failed request investigated its target, each investigation began a check of the whole service (16 targets, eight instances every 30 ms for 0.25 s), so that checks never rested. Change: an investigation asks four other targets, once for all requests that failed on the target; instances are asked every 100 ms.

--- a/node/src/reach/offers.rs
+++ b/node/src/reach/offers.rs
@@ -1,5 +1,5 @@
 use {
-    super::probe::{probe, sample},
+    super::probe::probe_some,
     crate::{
         app::{App, Phase},
         mesh::ask,
@@ -20,7 +20,7 @@
 const OFFER_TIME: Duration = Duration::from_millis(250);
 /// Interval in which instances are asked until one reaches the service: they may have to ask a target
 /// themselves.
-const OFFER_RETRY: Duration = Duration::from_millis(30);
+const OFFER_RETRY: Duration = Duration::from_millis(100);
 /// Targets that an instance asks for a report before it says that it reaches a service.
 const ASKED_TARGETS: usize = 2;
 
@@ -86,10 +86,7 @@
     };
     if check {
         let (app, service) = (app.clone(), service.clone());
-        tokio::spawn(async move {
-            let targets = sample(&app, &service, ASKED_TARGETS);
-            probe(&app, &service, &targets, 1).await;
-        });
+        tokio::spawn(async move { probe_some(&app, &service, ASKED_TARGETS).await });
     }
     if !evident {
         return Reply::Unknown;
--- a/node/src/reach/probe.rs
+++ b/node/src/reach/probe.rs
@@ -68,6 +68,12 @@
     probed
 }
 
+/// Asks some targets of a service for reports until one answers.
+pub async fn probe_some(app: &App, service: &ModelId, count: usize) {
+    let targets = sample(app, service, count);
+    probe(app, service, &targets, 1).await;
+}
+
 /// Returns whether a target answers, with any response; `None` if it may not be asked now.
 async fn answers<'a>(app: &App, target: &'a Target) -> (&'a Target, Option<bool>) {
     let check = || app.check_control(target);
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -4,7 +4,7 @@
         app::App,
         mesh::{clear_parts, report_crash, ReportedBy},
         ports::{EngineError, Target},
-        reach::begin_check,
+        reach::probe_some,
     },
     futures_util::{
         future::{BoxFuture, Shared},
@@ -27,7 +27,10 @@
 /// silences are usual while prompts queue.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
-type PendingVerdict = Shared<BoxFuture<'static, Verdict>>;
+/// Other targets that are asked whether they answer, if none has sent anything meanwhile.
+const OTHERS_PROBED: usize = 4;
+
+type PendingVerdict = Shared<BoxFuture<'static, (Verdict, OtherTargets)>>;
 
 /// Investigations in progress. All requests that failed on a target share one.
 #[derive(Default)]
@@ -132,12 +135,8 @@
 /// Finds out whether a target that lost an answer has crashed, and reports the crash if so.
 async fn investigate(app: Arc<App>, subjects: Vec<Subject>, target: Target) {
     let began = app.now();
-    let verdict = join_investigation(&app, &target).await;
+    let (verdict, others) = join_investigation(&app, &target).await;
     let now = app.now();
-    let others = match verdict.needs_others() {
-        true => other_targets(&app, &target, began).await,
-        false => OtherTargets::Quiet,
-    };
     let others_answer = others == OtherTargets::Answer;
     log::info!(
         "poison: target={} verdict={} others_answer={others_answer} {} ms={}",
@@ -171,7 +170,7 @@
         return OtherTargets::Quiet;
     }
     if !heard() {
-        begin_check(app, &service).await;
+        probe_some(app, &service, OTHERS_PROBED).await;
     }
     match heard() {
         true => OtherTargets::Answer,
@@ -187,9 +186,14 @@
     let start = || {
         let (app, target) = (app.clone(), target.clone());
         async move {
+            let began = app.now();
             let verdict = probe(&app, &target).await;
             app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
-            verdict
+            let others = match verdict.needs_others() {
+                true => other_targets(&app, &target, began).await,
+                false => OtherTargets::Quiet,
+            };
+            (verdict, others)
         }
         .boxed()
         .shared()
