Version 2 of the protocol between instances

New messages need a format with numbered fields, and a sender needs to know whether its peer understands them.

Frames with version byte 2 carry messages encoded with prost (derive only): unknown fields are skipped, unknown messages are counted and skipped. The sender with its incarnation, the receiver, the number for the replay window and the MAC are as in version 1; envelopes of both versions share the window. Presence records and frames announce the build's range of versions; a message is omitted for a peer without an announcement for its incarnation. The handlers of WorkspaceUse, UsageCounts and TargetPace are empty: a message is counted in lentil_mesh_extensions_total and dropped.

--- /dev/null
+++ b/core/src/mesh/extension.rs
@@ -0,0 +1,115 @@
+use prost::{Message, Oneof};
+
+/// Message of version 2 between two instances.
+///
+/// Fields and variants are identified by their tags. A tag is never used again with another meaning
+/// or type. A build skips fields that it doesn't know and counts messages that it doesn't know.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Extension {
+    /// Use of the workspaces at the sender.
+    #[prost(message, tag = "1")]
+    WorkspaceUse(WorkspaceUse),
+    /// Requests of the workspaces that began to run, by window.
+    #[prost(message, tag = "2")]
+    UsageCounts(UsageCounts),
+    /// Momentary pace of targets.
+    #[prost(message, tag = "3")]
+    TargetPace(TargetPace),
+}
+
+impl Extension {
+    /// Returns the label under which the metrics count the message.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::WorkspaceUse(_) => "workspace_use",
+            Self::UsageCounts(_) => "usage_counts",
+            Self::TargetPace(_) => "target_pace",
+        }
+    }
+}
+
+/// Use of the workspaces at the sender, those with the most use.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkspaceUse {
+    /// The workspaces, in any order.
+    #[prost(message, repeated, tag = "1")]
+    pub entries: Vec<WorkspaceEntry>,
+    /// Use of all workspaces at the sender, in engine seconds.
+    #[prost(double, tag = "2")]
+    pub total: f64,
+}
+
+/// Use of one workspace at one instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkspaceEntry {
+    /// Name of the workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// Use in engine seconds.
+    #[prost(double, tag = "2")]
+    pub used: f64,
+    /// Share of the workspace.
+    #[prost(double, tag = "3")]
+    pub share: f64,
+}
+
+/// Cumulative counts of the sender's incarnation, for the holder of the duty of usage reports.
+#[derive(Clone, PartialEq, Message)]
+pub struct UsageCounts {
+    /// The sender's estimate of true time at sending, in milliseconds since the start of 1970.
+    #[prost(uint64, tag = "1")]
+    pub sent_ms: u64,
+    /// The windows, in any order.
+    #[prost(message, repeated, tag = "2")]
+    pub windows: Vec<WindowCounts>,
+    /// Number of this part, from 0.
+    #[prost(uint32, tag = "3")]
+    pub part: u32,
+    /// Number of parts into which the message was split.
+    #[prost(uint32, tag = "4")]
+    pub parts: u32,
+}
+
+/// Counts of one window at one instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct WindowCounts {
+    /// Id of the window.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// The workspaces with requests in the window, in any order.
+    #[prost(message, repeated, tag = "2")]
+    pub counts: Vec<WorkspaceCount>,
+}
+
+/// Requests of one workspace in one window at one instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkspaceCount {
+    /// Name of the workspace.
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    /// Requests that began to run in the window so far.
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
+
+/// Pace of targets as the sender knows it.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetPace {
+    /// The targets, in any order.
+    #[prost(message, repeated, tag = "1")]
+    pub entries: Vec<PaceEntry>,
+}
+
+/// Pace of one target.
+#[derive(Clone, PartialEq, Message)]
+pub struct PaceEntry {
+    /// Id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// How long work takes there, in percent of the normal time.
+    #[prost(uint32, tag = "2")]
+    pub pace: u32,
+    /// Age of the figure at sending, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
--- a/core/src/mesh/frame.rs
+++ b/core/src/mesh/frame.rs
@@ -5,7 +5,8 @@
     thiserror::Error,
 };
 
-/// Version of the protocol between instances, the first byte of each frame.
+/// Version of frames that carry a [`Message`](super::Message); the first byte of each frame.
+/// Messages of this version never change.
 pub const PROTOCOL_VERSION: u8 = 1;
 /// Largest datagram; fits one Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -62,14 +63,12 @@
     Ok(mac)
 }
 
-/// Encodes an envelope as a frame: protocol version, postcard encoding and MAC.
-///
-/// # Errors
-/// [`FrameError::Malformed`] if the envelope can't be encoded, [`FrameError::TooLarge`] if the
-/// frame has more than `limit` bytes, [`FrameError::Mac`] if the key can't be used.
-pub fn seal(envelope: &Envelope, key: &[u8], limit: usize) -> Result<Vec<u8>, FrameError> {
-    let mut bytes = vec![PROTOCOL_VERSION];
-    bytes = postcard::to_extend(envelope, bytes).map_err(|_| FrameError::Malformed)?;
+/// Appends the MAC to the version byte and body of a frame.
+pub(super) fn append_mac(
+    mut bytes: Vec<u8>,
+    key: &[u8],
+    limit: usize,
+) -> Result<Vec<u8>, FrameError> {
     let tag = mac(key, &bytes)?.finalize().into_bytes();
     bytes.extend_from_slice(&tag[..MAC_BYTES]);
     match bytes.len() > limit {
@@ -78,25 +77,46 @@
     }
 }
 
-/// Verifies a frame and decodes its envelope.
-///
-/// # Errors
-/// [`FrameError`] if the frame is refused. The version is checked before the MAC and the encoding,
-/// so that later versions may change everything after the version byte.
-pub fn open(bytes: &[u8], key: &[u8], limit: usize) -> Result<Envelope, FrameError> {
+/// Verifies a frame of one version and returns the bytes between its version and its MAC.
+pub(super) fn verified_body<'a>(
+    bytes: &'a [u8],
+    version: u8,
+    key: &[u8],
+    limit: usize,
+) -> Result<&'a [u8], FrameError> {
     if bytes.len() > limit {
         return Err(FrameError::TooLarge(bytes.len()));
     }
     if bytes.len() < 1 + MAC_BYTES {
         return Err(FrameError::TooShort(bytes.len()));
     }
-    if bytes[0] != PROTOCOL_VERSION {
+    if bytes[0] != version {
         return Err(FrameError::UnsupportedVersion(bytes[0]));
     }
     let (signed, tag) = bytes.split_at(bytes.len() - MAC_BYTES);
     mac(key, signed)?.verify_truncated_left(tag).map_err(|_| FrameError::Mac)?;
-    let (envelope, rest) =
-        postcard::take_from_bytes(&signed[1..]).map_err(|_| FrameError::Malformed)?;
+    Ok(&signed[1..])
+}
+
+/// Encodes an envelope as a frame: protocol version, postcard encoding and MAC.
+///
+/// # Errors
+/// [`FrameError::Malformed`] if the envelope can't be encoded, [`FrameError::TooLarge`] if the
+/// frame has more than `limit` bytes, [`FrameError::Mac`] if the key can't be used.
+pub fn seal(envelope: &Envelope, key: &[u8], limit: usize) -> Result<Vec<u8>, FrameError> {
+    let mut bytes = vec![PROTOCOL_VERSION];
+    bytes = postcard::to_extend(envelope, bytes).map_err(|_| FrameError::Malformed)?;
+    append_mac(bytes, key, limit)
+}
+
+/// Verifies a frame and decodes its envelope.
+///
+/// # Errors
+/// [`FrameError`] if the frame is refused. The version is checked before the MAC and the encoding,
+/// so that later versions may change everything after the version byte.
+pub fn open(bytes: &[u8], key: &[u8], limit: usize) -> Result<Envelope, FrameError> {
+    let body = verified_body(bytes, PROTOCOL_VERSION, key, limit)?;
+    let (envelope, rest) = postcard::take_from_bytes(body).map_err(|_| FrameError::Malformed)?;
     match rest.is_empty() {
         true => Ok(envelope),
         false => Err(FrameError::Malformed),
--- a/fakes/src/deployment/instance.rs
+++ b/fakes/src/deployment/instance.rs
@@ -9,7 +9,7 @@
     lentil_node::{
         app::App,
         daemon::{build_ports, run_instance, Sockets},
-        ports::ListKind,
+        ports::{ListKind, ListedInstance},
     },
     std::{
         net::SocketAddr,
@@ -77,8 +77,10 @@
         let sockets = Sockets::bind(&mut settings).await.expect("free ports can be bound");
         let ports = build_ports(&settings);
         let id = settings.instance.to_string();
-        self.list.put(live_entry(&id, ListKind::Entry, settings.mesh.listen));
+        let entry = live_entry(&id, ListKind::Entry, settings.mesh.listen);
         let app = Arc::new(App::new(settings, ports));
+        let announced = Some(app.announcement());
+        self.list.put(ListedInstance { announced, ..entry });
         let (stop, stopped) = oneshot::channel();
         let stopped = async move {
             let _ = stopped.await;
--- a/fakes/src/deployment/setup.rs
+++ b/fakes/src/deployment/setup.rs
@@ -156,7 +156,8 @@
 /// Builds an entry of the instance list in the state `live`.
 pub fn live_entry(id: &str, kind: ListKind, address: SocketAddr) -> ListedInstance {
     let (region, zone) = (parse_name("nl"), parse_name("ams-a"));
-    ListedInstance { id: id.to_owned(), kind, state: ListState::Live, address, region, zone }
+    let (id, state) = (id.to_owned(), ListState::Live);
+    ListedInstance { id, kind, state, address, region, zone, announced: None }
 }
 
 fn manifest(
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -15,7 +15,7 @@
     crate::{
         claims::ClaimStore,
         control::CellLeases,
-        mesh::{FrameCodec, Questions},
+        mesh::{FrameCodec, PeerVersions, Questions},
         metrics::Metrics,
         ports::{ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore},
         reach::ReachChecks,
@@ -29,7 +29,7 @@
         ids::Revision,
         limit::ResendLimit,
         manifest::{ManifestIndex, ManifestRecord},
-        mesh::{DetectorTiming, LimitNote, MemberInfo, MemberView},
+        mesh::{Announcement, DetectorTiming, LimitNote, MemberInfo, MemberView, VersionRange},
         order::Holder,
         poison::Quarantine,
         reach::ReachTable,
@@ -93,6 +93,8 @@
     pub claims: ClaimStore,
     /// Authenticates frames sent to and received from other instances.
     pub frame_codec: FrameCodec,
+    /// Builds and protocol versions that other instances announced.
+    pub peer_versions: PeerVersions,
     /// Questions to other instances that wait for an answer.
     pub questions: Questions,
     /// Socket for datagrams to other instances, once it is bound.
@@ -172,6 +174,7 @@
             phase: watch::Sender::new(Phase::Serving),
             relayed_targets: watch::Sender::default(),
             frame_codec: FrameCodec::default(),
+            peer_versions: PeerVersions::default(),
             socket: OnceLock::new(),
             cell_leases: CellLeases::default(),
             manifest: RwLock::default(),
@@ -202,6 +205,15 @@
         }
     }
 
+    /// Returns what this instance announces about its build.
+    pub fn announcement(&self) -> Announcement {
+        Announcement {
+            start: self.identity.start,
+            build: Some(env!("CARGO_PKG_VERSION").to_owned()),
+            versions: VersionRange::OWN,
+        }
+    }
+
     /// Returns the current monotonic time.
     pub fn now(&self) -> Time {
         self.clock.now()
--- a/node/src/follow/list.rs
+++ b/node/src/follow/list.rs
@@ -93,6 +93,9 @@
             app.holders().gone.insert(id);
         }
         ListState::Live | ListState::Leaving => {
+            if let Some(announced) = &listed.announced {
+                app.peer_versions.record(&id, announced.clone());
+            }
             app.holders().gone.remove(&id);
             mesh::contact(app, listed.address).await;
         }
--- a/node/src/mesh/listen.rs
+++ b/node/src/mesh/listen.rs
@@ -1,5 +1,7 @@
 use {
     super::{
+        extensions,
+        frame_codec::Received,
         handlers,
         request::{read, write, RequestError, REQUEST_TIMEOUT},
     },
@@ -23,8 +25,9 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
         let Ok((length, address)) = socket.recv_from(&mut buffer).await else { continue };
-        match app.frame_codec.open(&app, &buffer[..length], MAX_DATAGRAM_BYTES) {
-            Ok(envelope) => handlers::datagram(&app, address, envelope).await,
+        match app.frame_codec.open_datagram(&app, &buffer[..length]) {
+            Ok(Received::Message(envelope)) => handlers::datagram(&app, address, envelope).await,
+            Ok(Received::Extensions(envelope)) => extensions::handle(&app, address, envelope),
             Err(error) => log::debug!("mesh: datagram from {address} refused: {error}"),
         }
     }
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -2,15 +2,20 @@
 
 mod ask;
 mod crash_news;
+mod extensions;
 mod frame_codec;
 mod handlers;
 mod heartbeat;
 mod in_flight;
 mod limits;
 mod listen;
+mod peer_versions;
 mod request;
 mod send;
 mod streams;
+mod target_pace;
+mod usage_counts;
+mod workspace_use;
 
 pub(crate) use ask::ask;
 use send::broadcast;
@@ -18,11 +23,13 @@
 pub use {
     ask::Questions,
     crash_news::{clear_parts, report_crash, ReportedBy},
-    frame_codec::FrameCodec,
+    extensions::{broadcast_extension, send_extension},
+    frame_codec::{FrameCodec, Received},
     heartbeat::{announce_leave, contact, send_heartbeats},
     in_flight::report_in_flight,
     limits::{announce_limits, request_permit},
     listen::{listen_datagrams, listen_requests},
+    peer_versions::PeerVersions,
     request::{request, RequestError},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
 };
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -49,6 +49,8 @@
     pub service_engines: IntGaugeVec,
     /// Rejected mesh frames by reason.
     pub refused_frames: IntCounterVec,
+    /// Messages of protocol version 2 by message and what became of them.
+    extensions: IntCounterVec,
     /// Bytes sent to other instances over the mesh.
     pub sent_bytes: IntCounter,
     /// Calls to the key-value service by kind.
@@ -203,6 +205,11 @@
                 ),
             ),
             refused_frames: counters("lentil_mesh_refused_total", "Refused frames", &["reason"]),
+            extensions: counters(
+                "lentil_mesh_extensions_total",
+                "Messages of protocol version 2",
+                &["message", "end"],
+            ),
             sent_bytes: counter("lentil_mesh_sent_bytes_total", "Bytes sent to other instances"),
             store_calls: counters("lentil_store_calls_total", "Calls to the store", &["call"]),
             claims: counters("lentil_claims_total", "Claims of run-once requests", &["end"]),
@@ -290,6 +297,11 @@
         self.relayed.with_label_values(&[instance, end]).inc();
     }
 
+    /// Counts a message of protocol version 2: `sent`, `omitted`, `failed` or `received`.
+    pub fn count_extension(&self, message: &str, end: &str) {
+        self.extensions.with_label_values(&[message, end]).inc();
+    }
+
     /// Removes the counters of targets for which `is_known` returns false.
     pub fn retain_targets(&self, is_known: impl Fn(&EngineId) -> bool) {
         let mut labelled = self.labelled.lock().unwrap_or_else(PoisonError::into_inner);
--- a/node/src/ports/list.rs
+++ b/node/src/ports/list.rs
@@ -1,6 +1,9 @@
 use {
     futures_util::future::BoxFuture,
-    lentil_core::ids::{Region, Zone},
+    lentil_core::{
+        ids::{Region, Zone},
+        mesh::Announcement,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     thiserror::Error,
@@ -50,6 +53,9 @@
     pub region: Region,
     /// Availability zone in which it runs.
     pub zone: Zone,
+    /// What an instance that runs lentilgrade announced about its build.
+    #[serde(default)]
+    pub announced: Option<Announcement>,
 }
 
 /// Changes of the list since an earlier version.
