Fewer calls to the store in large regions: list of instances, quarantine and software versions

Cause: each instance read the list of instances by watches, one call for each change of any instance, and made linearizable reads at its start whose results may be seconds old without harm. Change: from hosted.crowd listed instances on, the list is read whole, possibly some seconds old (a tenth of a call), every 6 s or 50 ms for each instance; up to four listed instances that are not live members are contacted after each read. The stored quarantine (with none of its own) and software versions are read the same way at the start.

--- a/node/src/follow/list.rs
+++ b/node/src/follow/list.rs
@@ -9,7 +9,12 @@
         limit::Backoff,
         mesh::Update,
     },
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    rand::seq::SliceRandom,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -23,6 +28,11 @@
 /// Interval between later reads if this instance is hosted: the list then names instances only,
 /// and new instances contact the others themselves.
 const HOSTED_POLL_INTERVAL: Duration = Duration::from_secs(6);
+/// Shortest interval between reads for each listed instance: a read returns the whole list in large
+/// regions, about 200 bytes an instance.
+const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(50);
+/// Listed instances that are contacted after a read, since they are not live members of the view.
+const CONTACTS_PER_READ: usize = 4;
 /// Longest back-off, in addition to the interval, while the list is not available.
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 
@@ -30,48 +40,87 @@
 /// that they get no new work.
 pub async fn follow_list(app: Arc<App>) {
     let (mut version, mut reads) = (0, 0);
-    let mut entries = BTreeSet::new();
+    let mut entries = BTreeMap::new();
     let mut backoff = Backoff::new(POLL_INTERVAL, MAX_BACKOFF);
     loop {
-        match app.ports.list.changes(version).await {
+        let crowded = app.settings.hosted.as_ref().is_some_and(|h| entries.len() >= h.crowd);
+        let read = match crowded && reads >= STARTUP_READS {
+            true => app.ports.list.snapshot(),
+            false => app.ports.list.changes(version),
+        };
+        match read.await {
             Err(error) => {
                 log::debug!("list: {error}");
                 sleep(backoff.record_failure(rand::random())).await;
             }
+            // A snapshot may be older than what was read before.
+            Ok(changes) if changes.version < version => backoff.record_success(),
             Ok(changes) => {
                 backoff.record_success();
                 version = changes.version;
                 reads += 1;
-                update_entries(&mut entries, &changes);
+                let changed = update_entries(&mut entries, changes);
                 let count = entries.len() as u32;
                 app.member_view().record_listed(count, app.now());
-                for listed in &changes.changed {
+                for listed in &changed {
                     apply(&app, listed).await;
                 }
+                if crowded {
+                    contact_unknown(&app, &entries).await;
+                }
             }
         }
         let interval = match app.settings.hosted {
             None => POLL_INTERVAL,
             Some(_) if reads < STARTUP_READS => HOSTED_STARTUP_INTERVAL,
-            Some(_) => HOSTED_POLL_INTERVAL,
+            Some(_) => HOSTED_POLL_INTERVAL.max(INTERVAL_PER_INSTANCE * entries.len() as u32),
         };
         sleep(interval).await;
     }
 }
 
-/// Applies changes of the list to the set of instances that run lentilgrade.
-fn update_entries(entries: &mut BTreeSet<String>, changes: &ListChanges) {
+/// Applies changes of the list to the instances that run lentilgrade; returns the changes that are
+/// new.
+fn update_entries(
+    entries: &mut BTreeMap<String, ListedInstance>,
+    changes: ListChanges,
+) -> Vec<ListedInstance> {
     if changes.complete {
-        entries.clear();
+        let listed: BTreeSet<&String> = changes.changed.iter().map(|l| &l.id).collect();
+        entries.retain(|id, _| listed.contains(id));
     }
     changes.removed.iter().for_each(|id| {
         entries.remove(id);
     });
-    for listed in changes.changed.iter().filter(|l| l.kind == ListKind::Entry) {
+    let mut is_new = |listed: &ListedInstance| {
+        if listed.kind != ListKind::Entry {
+            return true;
+        }
         match listed.state {
-            ListState::Gone => entries.remove(&listed.id),
-            ListState::Live | ListState::Leaving => entries.insert(listed.id.clone()),
-        };
+            ListState::Gone => {
+                entries.remove(&listed.id);
+                true
+            }
+            ListState::Live | ListState::Leaving => {
+                entries.insert(listed.id.clone(), listed.clone()).as_ref() != Some(listed)
+            }
+        }
+    };
+    changes.changed.into_iter().filter(|listed| is_new(listed)).collect()
+}
+
+/// Contacts some listed instances that are not live members of the view, so that an instance whose
+/// partition has healed joins the others again.
+async fn contact_unknown(app: &App, entries: &BTreeMap<String, ListedInstance>) {
+    let mut unknown: Vec<&ListedInstance> = {
+        let view = app.member_view();
+        let live: BTreeSet<&str> = view.live().map(|m| m.info.id.as_str()).collect();
+        let own = app.identity.instance.as_str();
+        entries.values().filter(|l| l.id != own && !live.contains(l.id.as_str())).collect()
+    };
+    unknown.shuffle(&mut rand::thread_rng());
+    for listed in unknown.into_iter().take(CONTACTS_PER_READ) {
+        mesh::contact(app, listed.address).await;
     }
 }
 
--- a/node/src/follow/quarantine.rs
+++ b/node/src/follow/quarantine.rs
@@ -64,7 +64,13 @@
 
 /// Adds the stored quarantine to the own one, and stores the result if it has others.
 async fn merge_and_store(app: &App) -> Result<(), StoreError> {
-    let entry = app.ports.store.read(QUARANTINE_KEY).await?;
+    // With nothing to store, an older value does: instances reconcile what is newer.
+    let nothing = app.quarantine().digest(app.now()).is_empty();
+    let store = &app.ports.store;
+    let entry = match nothing {
+        true => store.read_stale(QUARANTINE_KEY).await?,
+        false => store.read(QUARANTINE_KEY).await?,
+    };
     let stored = entry.as_ref().map(stored_crashes).unwrap_or_default();
     let (now, unix) = (app.now(), app.clock.unix_time());
     let crashes = {
--- a/node/src/follow/software.rs
+++ b/node/src/follow/software.rs
@@ -66,9 +66,10 @@
     }
 }
 
-/// Adds the stored versions to the history. One whose targets left unseen counts as just gone.
+/// Adds the stored versions to the history. One whose targets left unseen counts as just gone, so that
+/// a value some seconds old does no harm.
 async fn load(app: &App) -> Result<(), StoreError> {
-    let entry = app.ports.store.read(SOFTWARE_KEY).await?;
+    let entry = app.ports.store.read_stale(SOFTWARE_KEY).await?;
     let stored = entry.as_ref().map(stored_versions).unwrap_or_default();
     let (now, unix) = (app.now(), app.clock.unix_time());
     let mut fleet = app.fleet();
--- a/node/src/ports/list.rs
+++ b/node/src/ports/list.rs
@@ -77,4 +77,9 @@
 pub trait InstanceList: Send + Sync {
     /// Reads the changes since `version`; version 0 returns the whole list.
     fn changes(&self, version: u64) -> BoxFuture<'_, Result<ListChanges, ListError>>;
+
+    /// Reads the whole list, which may be some seconds old.
+    fn snapshot(&self) -> BoxFuture<'_, Result<ListChanges, ListError>> {
+        self.changes(0)
+    }
 }
--- a/node/src/ports/store.rs
+++ b/node/src/ports/store.rs
@@ -39,6 +39,15 @@
     /// Reads a key.
     fn read<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<StoreEntry>, StoreError>>;
 
+    /// Reads a key; the result may be some seconds old. Cheaper than [`Self::read`] where the service
+    /// has such reads.
+    fn read_stale<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, Result<Option<StoreEntry>, StoreError>> {
+        self.read(key)
+    }
+
     /// Writes a key by compare-and-swap: only if it is at revision `base`, where 0 means that the
     /// key must not exist. A key written with a lease is deleted when the lease expires.
     fn swap<'a>(
