--- a/node/src/control/mod.rs
+++ b/node/src/control/mod.rs
@@ -18,3 +18,6 @@
     demand::report_demand,
     store_keys::{holder_key, ledger_key},
 };
+
+#[cfg(test)]
+mod tests;
--- a/node/src/follow/mod.rs
+++ b/node/src/follow/mod.rs
@@ -19,3 +19,6 @@
     software::persist_software,
     targets::follow_targets,
 };
+
+#[cfg(test)]
+mod tests;
--- a/node/src/follow/quarantine.rs
+++ b/node/src/follow/quarantine.rs
@@ -24,7 +24,7 @@
 
 /// A crash by which a request or a part of prompts is in quarantine, as it is stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct StoredCrash {
+pub(super) struct StoredCrash {
     /// Number of the request or part.
     fingerprint: Fingerprint,
     /// Whether it is a part of prompts.
--- a/node/src/follow/software.rs
+++ b/node/src/follow/software.rs
@@ -27,7 +27,7 @@
 
 /// A software version that targets of a service have or had.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-struct StoredVersion {
+pub(super) struct StoredVersion {
     service: ModelId,
     software: SoftwareVersion,
     /// Unix time at which its last target was gone; `None` while there is one.
