Callers' keys and workspaces on the platform

A configuration with `tenants` names workspaces and their keys, but every caller was served and its own Tenant header reached the targets.

The configuration is decoded into a table of key hashes. A request on a route that is not public needs a known key: otherwise 401, or 503 while the table is older than the time within which changes apply, or than revoke in strict mode. The age is confirmed by reads of the configuration and, while a watch of it is pending, by renewals of the presence lease. The stored request names the workspace and carries no key, so all sends, also those through another instance, do so. A relayed request's workspace is read from that header; the messages of version 1 are unchanged. The workspace's priority comes before the route's. Configurations with a key of two workspaces, an unnamed workspace or a price list without a zone are rejected; errors name the entry and no key.

RunRequest::workspace is now optional: requests on public routes may have none.

--- a/core/src/routes/mod.rs
+++ b/core/src/routes/mod.rs
@@ -1,11 +1,15 @@
 //! Routes of a hosted instance: the service that handles a request, whether and how often the
 //! request may be retried, and its timeouts.
 
+mod freshness;
 mod route;
 mod service;
 mod table;
+mod workspaces;
 
-pub use {route::*, service::*, table::*};
+pub use {freshness::*, route::*, service::*, table::*, workspaces::*};
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod workspace_tests;
--- a/core/src/routes/table.rs
+++ b/core/src/routes/table.rs
@@ -1,6 +1,6 @@
 use {
-    super::{CallerLimits, Route, ServiceConfig},
-    crate::ids::{Revision, ServiceId},
+    super::{CallerLimits, Route, ServiceConfig, WorkspaceTable},
+    crate::ids::{Revision, ServiceId, Zone},
     std::{collections::BTreeMap, collections::HashMap, sync::Arc},
 };
 
@@ -13,6 +13,8 @@
     pub services: BTreeMap<ServiceId, ServiceConfig>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
+    /// Workspaces of the callers; `None` if callers have no keys.
+    pub workspaces: Option<WorkspaceTable>,
     /// Routes by host, then by path prefix.
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
 }
@@ -30,7 +32,31 @@
             let prefixes = hosts.entry(route.host.clone()).or_default();
             prefixes.entry(route.prefix.clone()).or_insert_with(|| Arc::new(route));
         }
-        Self { version, services, limits, hosts }
+        Self { version, services, limits, workspaces: None, hosts }
+    }
+
+    /// Adds the workspaces of the callers.
+    #[must_use]
+    pub fn with_workspaces(self, workspaces: Option<WorkspaceTable>) -> Self {
+        Self { workspaces, ..self }
+    }
+
+    /// Checks that the prices of each service whose targets are ordered name all `zones`.
+    ///
+    /// # Errors
+    /// A description of the first service and zone without a price.
+    pub fn check_prices<'a>(
+        &self,
+        zones: impl IntoIterator<Item = &'a Zone> + Clone,
+    ) -> Result<(), String> {
+        let scaled = self.services.iter().filter_map(|(id, s)| Some((id, s.scaling.as_ref()?)));
+        for (id, scaling) in scaled {
+            let missing = zones.clone().into_iter().find(|z| !scaling.prices.contains_key(*z));
+            if let Some(zone) = missing {
+                return Err(format!("service {id:?}: autoscale: zone {zone:?} has no price"));
+            }
+        }
+        Ok(())
     }
 
     /// Finds the route of a host with the longest prefix that matches the path.
--- a/core/src/settings/api.rs
+++ b/core/src/settings/api.rs
@@ -49,6 +49,12 @@
     pub strict: bool,
 }
 
+impl Default for KeySettings {
+    fn default() -> Self {
+        Self { apply: Millis(3_000), revoke: Millis(0), strict: false }
+    }
+}
+
 impl ApiSettings {
     /// Returns whether the API is called for `duty`.
     pub fn has(&self, duty: DutyKind) -> bool {
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -17,7 +17,10 @@
         control::CellLeases,
         mesh::{FrameCodec, Questions},
         metrics::Metrics,
-        ports::{ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore},
+        ports::{
+            ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore,
+            WorkspaceHeaders,
+        },
         reach::ReachChecks,
         relay::RelayLinks,
         run::Investigations,
@@ -33,7 +36,7 @@
         order::Holder,
         poison::Quarantine,
         reach::ReachTable,
-        routes::RouteTable,
+        routes::{RouteTable, TableFreshness},
         settings::Settings,
         stream::StreamOrigins,
     },
@@ -61,6 +64,8 @@
     pub services: Arc<dyn PlainService>,
     /// Client of the platform's API, if the platform has one.
     pub api: Option<Arc<dyn PlatformApi>>,
+    /// Headers that carry keys and workspaces, if the platform has them.
+    pub workspaces: Option<Arc<dyn WorkspaceHeaders>>,
 }
 
 /// Stage of an instance between start and stop.
@@ -107,6 +112,7 @@
     pub relayed_targets: watch::Sender<Arc<Vec<TargetBatch>>>,
     manifest: RwLock<Option<ActiveManifest>>,
     routes: RwLock<Option<Arc<RouteTable>>>,
+    table_freshness: Mutex<TableFreshness>,
     member_view: Mutex<MemberView>,
     fleet: Mutex<Fleet>,
     cache_index: Mutex<CacheIndex>,
@@ -176,6 +182,7 @@
             cell_leases: CellLeases::default(),
             manifest: RwLock::default(),
             routes: RwLock::default(),
+            table_freshness: Mutex::default(),
             fleet: Mutex::default(),
             cache_index: Mutex::default(),
             quarantine_found: Notify::new(),
@@ -320,6 +327,11 @@
         routes.ok_or_else(|| Fault::new(ErrorKind::NotReady, "no routes are known yet"))
     }
 
+    /// Locks the knowledge of how current the routes are. No other lock is taken meanwhile.
+    pub fn table_freshness(&self) -> MutexGuard<'_, TableFreshness> {
+        lock(&self.table_freshness)
+    }
+
     /// Activates routes if they are newer than the current ones; returns whether they were.
     pub fn activate_routes(&self, table: RouteTable) -> bool {
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -61,7 +61,7 @@
     Ok(RunRequest {
         fingerprint: Fingerprint::of(&fingerprint_parts),
         caller: request.caller.clone(),
-        workspace: request.spec.workspace.clone(),
+        workspace: Some(request.spec.workspace.clone()),
         share,
         class: name,
         arrived: request.arrived,
--- a/node/src/commands/mod.rs
+++ b/node/src/commands/mod.rs
@@ -6,5 +6,6 @@
 mod proxy;
 mod relayed;
 mod service;
+mod workspace;
 
-pub use {generate::*, proxy::*, relayed::*, service::*};
+pub use {generate::*, proxy::*, relayed::*, service::*, workspace::*};
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -8,20 +8,19 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, BlockLengths},
-        ids::{CallerId, Fingerprint, ModelId, Tokens, WorkspaceId},
+        ids::{CallerId, Fingerprint, ModelId, Tokens},
         route::RoutingRequest,
-        routes::{Route, RouteTable},
+        routes::{Route, RouteTable, Workspace},
     },
     std::{sync::Arc, time::Duration},
 };
 
-/// Caller and workspace of all proxied requests: the platform names neither.
+/// Caller of all proxied requests: the platform names only workspaces.
 const PROXIED_CALLER: &str = "passed-on";
 
-/// Returns caller and workspace of proxied requests.
-pub(super) fn proxied_caller() -> Result<(CallerId, WorkspaceId), Fault> {
-    let invalid = |_| Fault::new(ErrorKind::BadRequest, "invalid caller name");
-    Ok((PROXIED_CALLER.parse().map_err(invalid)?, PROXIED_CALLER.parse().map_err(invalid)?))
+/// Returns the caller of proxied requests.
+pub(super) fn proxied_caller() -> Result<CallerId, Fault> {
+    PROXIED_CALLER.parse().map_err(|_| Fault::new(ErrorKind::BadRequest, "invalid caller name"))
 }
 
 /// What the caller states about a proxied request.
@@ -67,6 +66,7 @@
 }
 
 /// Forwards a request to a target of its route and returns the pieces of the answer as they arrive.
+/// The rank of its `workspace` comes before that of the route.
 ///
 /// # Errors
 /// [`ErrorKind::NoTarget`] if the route has no service, or one that is not a valid model name.
@@ -75,6 +75,7 @@
     (table, route): (Arc<RouteTable>, Arc<Route>),
     request: ProxyRequest,
     metadata: RequestMetadata,
+    workspace: Option<Arc<Workspace>>,
     arrived: Time,
 ) -> Result<Pieces, Fault> {
     let Some(service) = route.service(rand::random()) else {
@@ -85,11 +86,14 @@
     })?;
     let timeout = route.timeout.duration();
     let timeout = metadata.timeout.map_or(timeout, |t| t.min(timeout));
-    let (caller, workspace) = proxied_caller()?;
+    let mut class = route.class.clone();
+    if let Some(rank) = workspace.as_ref().and_then(|w| w.rank) {
+        class.priority = rank.priority();
+    }
     let run_request = RunRequest {
         fingerprint: Fingerprint::of(&[request.path.as_bytes(), &request.body]),
-        caller,
-        workspace,
+        caller: proxied_caller()?,
+        workspace: workspace.map(|w| w.id.clone()),
         share: 1.0,
         class: route.name.clone(),
         arrived,
@@ -104,8 +108,8 @@
             resumable: route.resumable,
             software: None,
             excluded: Default::default(),
-            class: route.class.clone(),
-            rank: route.class.rank(),
+            rank: class.rank(),
+            class,
         },
         prompt: String::new(),
         proxied: Some(Proxied {
--- a/node/src/commands/relayed.rs
+++ b/node/src/commands/relayed.rs
@@ -1,5 +1,5 @@
 use {
-    super::proxy::proxied_caller,
+    super::{proxy::proxied_caller, workspace::relayed_workspace},
     crate::{
         app::App,
         ports::ProxyRequest,
@@ -23,7 +23,8 @@
 /// Route and service are those of the other instance, the targets are chosen here.
 ///
 /// # Errors
-/// [`ErrorKind::BadRequest`] if its head is malformed.
+/// [`ErrorKind::BadRequest`] if its head is malformed; those of
+/// [`identify_workspace`](super::identify_workspace) if it carries a key.
 pub fn proxy_relayed(
     app: Arc<App>,
     from: InstanceId,
@@ -46,11 +47,11 @@
         head.sends,
         head.remaining
     );
-    let (caller, workspace) = proxied_caller()?;
+    let workspace = relayed_workspace(&app, &head.route, &mut headers)?;
     let request = ProxyRequest { id: head.id, method, path: head.path, headers, body };
     let run_request = RunRequest {
         fingerprint: head.fingerprint,
-        caller,
+        caller: proxied_caller()?,
         workspace,
         share: 1.0,
         class: head.route.name.clone(),
--- a/node/src/daemon/args.rs
+++ b/node/src/daemon/args.rs
@@ -55,6 +55,7 @@
         engines: Arc::new(HttpEngine::new(timeout, settings.control.order.duration())),
         services: Arc::new(HttpService),
         api: None,
+        workspaces: None,
     }
 }
 
--- a/node/src/follow/routes.rs
+++ b/node/src/follow/routes.rs
@@ -18,8 +18,12 @@
     let mut failing = false;
     let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
     loop {
+        let began = app.now();
         let found = match read_at {
-            Some(after) => directory.newer_routes(after, WATCH_TIMEOUT).await,
+            Some(after) => {
+                app.table_freshness().record_watch(began);
+                directory.newer_routes(after, WATCH_TIMEOUT).await
+            }
             None => directory.routes().await,
         };
         match found {
@@ -29,6 +33,7 @@
                 }
                 failing = false;
                 backoff.record_success();
+                app.table_freshness().record_read(began);
                 read_at = Some(revision);
                 let Some(table) = table else {
                     if app.routes().is_err() {
@@ -48,6 +53,7 @@
                     log::warn!("routes: store lost: {error}");
                 }
                 failing = true;
+                app.table_freshness().record_failure();
                 read_at = None;
                 sleep(backoff.record_failure(rand::random())).await;
             }
--- a/node/src/ports/mod.rs
+++ b/node/src/ports/mod.rs
@@ -10,8 +10,9 @@
 mod store;
 mod target;
 mod weights;
+mod workspace_headers;
 
 pub use {
     announcement::*, directory::*, engine::*, list::*, platform_api::*, service::*, store::*,
-    target::*, weights::*,
+    target::*, weights::*, workspace_headers::*,
 };
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -202,16 +202,17 @@
     /// Admits or refuses the request, and charges its expected cost to the workspace if admitted.
     fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
         let request = &self.request;
+        let Some(workspace) = &request.workspace else { return Ok(()) };
         let mut admission = self.app.admission();
         let admission_request = AdmissionRequest {
-            workspace: &request.workspace,
+            workspace,
             share: request.share,
             class: &request.routing.class,
             waited: now - request.arrived,
         };
         admit(&admission_request, pick, &admission.usage, now)?;
         let cost = pick.end.as_secs_f64();
-        admission.usage.record_use(&request.workspace, request.share, cost, now);
+        admission.usage.record_use(workspace, request.share, cost, now);
         Ok(())
     }
 }
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -17,8 +17,8 @@
     pub fingerprint: Fingerprint,
     /// The caller that sent it.
     pub caller: CallerId,
-    /// The workspace whose share it is charged to.
-    pub workspace: WorkspaceId,
+    /// The workspace whose share it is charged to; `None` if its caller is not identified.
+    pub workspace: Option<WorkspaceId>,
     /// That workspace's share of the engines.
     pub share: f64,
     /// Name of its class, for logs and metrics.
