Usage reports, each fixed in the store before it is sent

The platform must get one report of the workspaces' usage for each window, whoever holds the duty. Each instance counts its requests once, when the first part of a response arrives from a target that it sent them to. The holder of the cell `usage` merges the counts, writes the report of a window to the key `duties/usage` by compare-and-swap 2.2 s after the window's end, and sends what is written, again until it is accepted. A successor reads the key, resends what is not known to be accepted, and makes no call for 3 to 6 s, until calls of its predecessor are over. The lease (3 s) is renewed beside the other calls; engine cells are acquired as before. Candidates read the store only after the holder was silent for 2 s.

--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -21,6 +21,7 @@
         reach::ReachChecks,
         relay::RelayLinks,
         run::Investigations,
+        usage::Usage,
     },
     lentil_core::{
         clock::Time,
@@ -132,6 +133,7 @@
     reach: Mutex<ReachTable>,
     reach_checks: Mutex<ReachChecks>,
     holders: Mutex<Holders>,
+    usage: Option<Mutex<Usage>>,
     /// Greatest manifest revision reported by any instance.
     latest_revision: Mutex<Revision>,
 }
@@ -193,6 +195,7 @@
             reach: Mutex::default(),
             reach_checks: Mutex::default(),
             holders: Mutex::default(),
+            usage: Usage::new(&settings, &clock).map(Mutex::new),
             latest_revision: Mutex::default(),
             settings,
             identity,
@@ -274,6 +277,12 @@
         lock(&self.holders)
     }
 
+    /// Locks the state of the usage reports; `None` if usage is not reported. No other lock is taken
+    /// meanwhile.
+    pub fn usage(&self) -> Option<MutexGuard<'_, Usage>> {
+        self.usage.as_ref().map(lock)
+    }
+
     /// Returns the active manifest, with its look-up tables.
     ///
     /// # Errors
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -24,6 +24,11 @@
     Ok((PROXIED_CALLER.parse().map_err(invalid)?, PROXIED_CALLER.parse().map_err(invalid)?))
 }
 
+/// Returns whether a workspace only stands for callers that belong to none.
+pub(crate) fn is_placeholder(workspace: &WorkspaceId) -> bool {
+    workspace.as_str() == PROXIED_CALLER
+}
+
 /// What the caller states about a proxied request.
 #[derive(Debug, Clone, Default)]
 pub struct RequestMetadata {
--- a/node/src/control/cell_lease.rs
+++ b/node/src/control/cell_lease.rs
@@ -12,7 +12,7 @@
 pub struct CellLease {
     lease: Mutex<Option<Lease>>,
     /// Held while an order is being sent, so that stepping down can wait for its end.
-    pub(super) order_lock: tokio::sync::Mutex<()>,
+    pub(crate) order_lock: tokio::sync::Mutex<()>,
 }
 
 impl CellLease {
@@ -22,7 +22,7 @@
     }
 
     /// Returns the lease, or `None` if this instance does not hold the cell.
-    pub(super) fn lease(&self) -> Option<Lease> {
+    pub(crate) fn lease(&self) -> Option<Lease> {
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/node/src/control/held_cell.rs
+++ b/node/src/control/held_cell.rs
@@ -19,7 +19,7 @@
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// A cell that this instance holds, with a copy of its ledger in the store.
-pub(super) struct HeldCell {
+pub(crate) struct HeldCell {
     pub cell: CellId,
     pub cell_lease: Arc<CellLease>,
     pub ledger: Ledger,
@@ -29,21 +29,32 @@
 impl HeldCell {
     /// Tries to acquire a cell; returns `None` if another instance holds it.
     pub(super) async fn acquire(app: &App, cell: &CellId) -> Result<Option<Self>, StoreError> {
+        let settings = &app.settings.control;
+        let (ttl, margin) = (settings.lease.duration(), settings.margin.duration());
+        Self::acquire_for(app, cell, ttl, margin).await
+    }
+
+    /// Tries to acquire a cell by a lease with this time to live and margin; returns `None` if
+    /// another instance holds it.
+    pub(crate) async fn acquire_for(
+        app: &App,
+        cell: &CellId,
+        ttl: Duration,
+        margin: Duration,
+    ) -> Result<Option<Self>, StoreError> {
         let store = &app.ports.store;
         count_store_call(app, "holder");
         if store.read(&holder_key(cell)).await?.is_some() {
             return Ok(None);
         }
-        let settings = &app.settings.control;
         let sent = app.now();
         count_store_call(app, "lease");
-        let id = store.grant(settings.lease.duration()).await?;
+        let id = store.grant(ttl).await?;
         if !write_holder(app, cell, id).await? {
             // If the revocation fails, the lease expires by itself.
             let _ = store.revoke(id).await;
             return Ok(None);
         }
-        let (ttl, margin) = (settings.lease.duration(), settings.margin.duration());
         let lease = Lease { id, sent, ttl, margin };
         let cell_lease = app.cell_leases.get(cell);
         while lease.valid(app.now()) {
@@ -109,7 +120,7 @@
     ///
     /// After an error the cell stays held until the lease expires, unless the store no longer knows
     /// the lease.
-    pub(super) async fn renew(&self, app: &App) {
+    pub(crate) async fn renew(&self, app: &App) {
         let Some(mut lease) = self.cell_lease.lease().filter(|l| l.renewal_due(app.now())) else {
             return;
         };
@@ -131,7 +142,7 @@
     }
 
     /// Gives up the cell and revokes its lease, so that another instance can acquire it at once.
-    pub(super) async fn release(&self, app: &App) {
+    pub(crate) async fn release(&self, app: &App) {
         let Some(lease) = self.cell_lease.lease() else { return };
         self.cell_lease.set(None);
         let _no_order_in_flight = self.cell_lease.order_lock.lock().await;
--- a/node/src/control/mod.rs
+++ b/node/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod store_keys;
 
+pub(crate) use held_cell::HeldCell;
 pub use {
     cell_lease::{step_down, CellLease, CellLeases},
     controller::run_controllers,
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -8,6 +8,7 @@
         ports::Directory,
         queries, reach,
         relay::serve_relayed,
+        usage,
     },
     hyper::{body::Incoming, Request, Response},
     std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
@@ -96,6 +97,7 @@
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
         tokio::spawn(follow::follow_routes(app.clone(), directory)),
         tokio::spawn(control::run_controllers(app.clone())),
+        tokio::spawn(usage::run_usage_reports(app.clone())),
         tokio::spawn(follow::persist_quarantine(app.clone())),
         tokio::spawn(follow::persist_software(app.clone())),
     ];
@@ -109,6 +111,7 @@
     let remaining = drain_limit.saturating_sub(app.now() - stop_began);
     let cut = timeout(remaining, served).await.is_err();
     mesh::hand_over_streams(&app).await;
+    usage::send_counts(&app).await;
     mesh::announce_leave(&app).await;
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
     log::info!("daemon: stop ends cut={cut}");
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod reach;
 pub mod relay;
 pub mod run;
+pub mod usage;
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -11,10 +11,12 @@
 mod request;
 mod send;
 mod streams;
+mod usage_counts;
 
 pub(crate) use ask::ask;
 use send::broadcast;
 pub(crate) use send::send_datagram;
+pub(crate) use usage_counts::{broadcast_usage_counts, send_usage_counts};
 pub use {
     ask::Questions,
     crash_news::{clear_parts, report_crash, ReportedBy},
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -99,6 +99,15 @@
     pub platform_calls: IntCounterVec,
     /// Cells whose lease this instance holds.
     pub held_cells: IntGauge,
+    /// Calls that report usage, by result; `given_up` counts reports that were never accepted.
+    pub usage_reports: IntCounterVec,
+    /// Requests that are in no usage report, by reason.
+    pub usage_lost: IntCounterVec,
+    /// Whether this instance reports the usage.
+    pub usage_holder: IntGauge,
+    /// Clocks found wrong: `wall` is a wall clock that differs from true time, `estimate` an
+    /// estimate of true time that was corrected.
+    pub wrong_clocks: IntCounterVec,
     /// Resends that this instance may make now, summed over all services.
     pub resends_left: IntGauge,
     /// Resident memory of the process in bytes.
@@ -260,6 +269,22 @@
                 &["call", "result"],
             ),
             held_cells: gauge("lentil_cells_held", "Cells whose engines are ordered from here"),
+            usage_reports: counters(
+                "lentil_usage_reports_total",
+                "Reports of usage by how their call ended",
+                &["end"],
+            ),
+            usage_lost: counters(
+                "lentil_usage_lost_total",
+                "Requests that are in no usage report",
+                &["reason"],
+            ),
+            usage_holder: gauge("lentil_usage_holder", "Whether usage is reported from here"),
+            wrong_clocks: counters(
+                "lentil_wrong_clocks_total",
+                "Times that a clock was found to be wrong",
+                &["clock"],
+            ),
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
             labelled: Mutex::default(),
--- a/node/src/run/attempt.rs
+++ b/node/src/run/attempt.rs
@@ -97,12 +97,17 @@
         if software.is_some() {
             self.choice.decode.software = software;
         }
+        let target = self.choice.decode.clone();
+        let refused = head.as_ref().is_some_and(|h| h.status >= 400);
         if let Some(head) = head {
             if let Some(fault) = self.accept_head(head) {
                 return AttemptEnd::Failed(fault);
             }
+            // A plain service begins with the first byte of its response, a stream with an event.
+            if !refused && !self.task.request.streams() {
+                self.task.count_usage(&target);
+            }
         }
-        let target = self.choice.decode.clone();
         let base = self.task.sent_tokens.len() as u64;
         let mut check = StreamCheck::new(self.run.clone(), base);
         let ticket = self.ticket(base);
@@ -110,6 +115,9 @@
         while let Some(next) = parts.next().await {
             if next.is_ok() {
                 self.task.record_sign(&target);
+                if !refused {
+                    self.task.count_usage(&target);
+                }
             }
             let sent = match next {
                 Ok(AnswerPart::Chunk(chunk)) => match check.accept(&chunk) {
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -19,5 +19,6 @@
 mod send;
 mod stream_origin;
 mod task;
+mod usage;
 
 pub use {attempts::start, failure::Investigations, piece::*, request::*, resume::resume};
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -50,6 +50,11 @@
 const MAX_SHARED_PARTS: usize = 16;
 
 impl RunRequest {
+    /// Returns whether the answer is a stream of tokens or events.
+    pub fn streams(&self) -> bool {
+        self.proxied.as_ref().is_none_or(|p| p.route.streams)
+    }
+
     /// Returns the parts of the prompt that other requests may have too: all but the last one.
     pub fn shared_parts(&self) -> &[PrefixHash] {
         let parts = self.routing.blocks.split_last().map_or(&[][..], |(_, shared)| shared);
--- /dev/null
+++ b/node/src/usage/counts.rs
@@ -0,0 +1,149 @@
+use {
+    super::Usage,
+    crate::{
+        app::{App, CellHolder},
+        mesh::send_usage_counts,
+    },
+    lentil_core::{
+        clock::Time,
+        ids::{CellId, Fence},
+        order::Holder,
+        usage::{UnixTime, UsageCounts, WindowId},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// Interval at which an instance without new counts sends its time.
+const TIME_INTERVAL: Duration = Duration::from_secs(5);
+/// Most instances with which the counts of a window in progress are sent. With more, the holder gets
+/// only the counts of ended windows, and what is lost with one instance is a smaller part of all.
+const MAX_CONTINUOUS: u32 = 400;
+/// Deviation of the own time from the holder's from which it is corrected.
+const MAX_DEVIATION_MS: i64 = 200;
+/// Longest delay of the counts that a new holder gets, so that they do not all arrive at once.
+const NEW_HOLDER_DELAY: Duration = Duration::from_millis(500);
+
+/// Sends this instance's new counts to the holder of the duty, if another instance is.
+pub async fn send_counts(app: &App) {
+    let Some((cell, messages)) = next_messages(app) else { return };
+    let holder = app.holders().holder(&cell).cloned();
+    let Some(holder) = holder.filter(|h| h.holder != app.identity) else { return };
+    for message in messages {
+        let id = holder.holder.instance.clone();
+        send_usage_counts(app, holder.address, id, message).await;
+    }
+}
+
+/// Returns the messages to be sent now, with the cell whose holder gets them.
+fn next_messages(app: &App) -> Option<(CellId, Vec<UsageCounts>)> {
+    let now = app.now();
+    let wall = app.clock.unix_time();
+    let open = app.member_view().fleet_size(now).is_none_or(|size| size <= MAX_CONTINUOUS);
+    let cell = app.usage()?.cell.clone();
+    let holder = app.holders().holder(&cell).map(|h| (h.holder.clone(), h.fence));
+    let mut usage = app.usage()?;
+    let wrong = usage.time.follow(wall, now);
+    let time = usage.time.at(now);
+    if wrong && !usage.wall_wrong {
+        let ahead = UnixTime(wall.0).millis_since(time);
+        log::warn!("usage: the wall clock is wrong ahead_ms={ahead}");
+        app.metrics.wrong_clocks.with_label_values(&["wall"]).inc();
+    }
+    usage.wall_wrong = wrong;
+    usage.remove_old(time);
+    let (holder, fence) = holder?;
+    if holder == app.identity {
+        return None;
+    }
+    if usage.served.is_none_or(|f| f < fence) {
+        usage.served = Some(fence);
+        usage.counter.send_again(WindowId(0));
+    }
+    let windows = usage.counter.take_changes(time, open);
+    let due = usage.sent.is_none_or(|t| now - t >= TIME_INTERVAL);
+    if windows.is_empty() && !due {
+        return None;
+    }
+    usage.sent = Some(now);
+    Some((cell, UsageCounts::messages(time, windows)))
+}
+
+/// Handles a message of another instance.
+pub fn record_message(app: &Arc<App>, address: SocketAddr, from: Holder, message: UsageCounts) {
+    match message.fence {
+        Some(fence) => record_announcement(app, address, from, (fence, message)),
+        None => record_counts(app, address, &from, message),
+    }
+}
+
+/// Records that another instance holds the duty, corrects the own time, and sends a new holder the
+/// counts that it needs.
+fn record_announcement(
+    app: &Arc<App>,
+    address: SocketAddr,
+    from: Holder,
+    (fence, message): (Fence, UsageCounts),
+) {
+    let now = app.now();
+    let Some(cell) = app.usage().map(|u| u.cell.clone()) else { return };
+    let known = app.holders().holder(&cell).map(|h| h.fence);
+    if known.is_some_and(|k| k > fence) {
+        return;
+    }
+    app.holders().record_holder(&cell, CellHolder { holder: from, address, fence });
+    let Some(mut usage) = app.usage() else { return };
+    usage.heard = Some(now);
+    if let Some(time) = message.time {
+        correct_time(app, &mut usage, time, now);
+    }
+    if usage.served.is_some_and(|f| f >= fence) {
+        return;
+    }
+    usage.served = Some(fence);
+    usage.counter.send_again(message.from.unwrap_or_default());
+    drop(usage);
+    let app = app.clone();
+    tokio::spawn(async move {
+        sleep(NEW_HOLDER_DELAY.mul_f64(rand::random())).await;
+        send_counts(&app).await;
+    });
+}
+
+fn correct_time(app: &App, usage: &mut Usage, time: UnixTime, now: Time) {
+    let deviation = time.millis_since(usage.time.at(now));
+    if deviation.abs() > MAX_DEVIATION_MS {
+        usage.time.correct(deviation);
+        app.metrics.wrong_clocks.with_label_values(&["estimate"]).inc();
+        log::warn!("usage: the own estimate of true time was wrong by_ms={deviation}");
+    }
+}
+
+/// Merges another instance's counts, if this one holds the duty, and answers with the time if the
+/// other one's is wrong.
+fn record_counts(app: &Arc<App>, address: SocketAddr, from: &Holder, message: UsageCounts) {
+    let now = app.now();
+    let Some(mut usage) = app.usage() else { return };
+    if let Some(time) = message.time {
+        let deviation = time.millis_since(usage.time.at(now));
+        usage.clocks.record(&from.instance, deviation, now);
+    }
+    let next = usage.next;
+    for counts in message.windows {
+        let fixed = next.is_some_and(|next| counts.window < next);
+        let increase = usage.tally.merge(from, counts);
+        if fixed && increase > 0 {
+            app.metrics.usage_lost.with_label_values(&["late"]).inc_by(increase);
+        }
+    }
+    if !usage.clocks.is_wrong(&from.instance, now) {
+        return;
+    }
+    drop(usage);
+    let (app, id) = (app.clone(), from.instance.clone());
+    tokio::spawn(async move {
+        if let Some(message) = super::holder::announcement(&app) {
+            send_usage_counts(&app, address, id, message).await;
+        }
+    });
+}
