--- a/core/src/usage/counter.rs
+++ b/core/src/usage/counter.rs
@@ -1,5 +1,5 @@
 use {
-    super::{UnixTime, WindowCounts, WindowId, WindowLength},
+    super::{UnixTime, WindowId, WindowLength, WindowUsage},
     crate::ids::WorkspaceId,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -52,7 +52,7 @@
 
     /// Returns the counts to be sent now: of windows that changed since the last call, and of those
     /// that ended not long ago. Without `open`, the counts of the window in progress are kept back.
-    pub fn take_changes(&mut self, time: UnixTime, open: bool) -> Vec<WindowCounts> {
+    pub fn take_changes(&mut self, time: UnixTime, open: bool) -> Vec<WindowUsage> {
         let length = self.length;
         let ended = |w: &WindowId| length.end(*w) <= time;
         let repeated = |w: &WindowId| ended(w) && time < length.end(*w) + REPEAT_TIME;
@@ -61,7 +61,7 @@
         self.changed = kept_back;
         let sent: BTreeSet<WindowId> = sent;
         let due = self.windows.iter().filter(|(w, _)| sent.contains(w) || repeated(w));
-        due.map(|(window, counts)| WindowCounts {
+        due.map(|(window, counts)| WindowUsage {
             window: *window,
             counts: counts.iter().map(|(w, n)| (w.clone(), *n)).collect(),
         })
--- a/core/src/usage/counts.rs
+++ b/core/src/usage/message.rs
@@ -13,7 +13,7 @@
 
 /// Requests that one instance counted in a window, cumulative since the window's beginning.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WindowCounts {
+pub struct WindowUsage {
     /// The window.
     pub window: WindowId,
     /// Requests by workspace; a message may contain a part of the workspaces.
@@ -22,7 +22,7 @@
 
 /// Message of the usage reports: an instance's counts for the holder, or the holder's announcement.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct UsageCounts {
+pub struct UsageMessage {
     /// The sender's estimate of true time. A holder that is not sure of it omits it.
     pub time: Option<UnixTime>,
     /// Fencing number of the sender, if it holds the duty.
@@ -30,15 +30,15 @@
     /// First window whose report the sender has not fixed, if it holds the duty.
     pub from: Option<WindowId>,
     /// Counts of the sender.
-    pub windows: Vec<WindowCounts>,
+    pub windows: Vec<WindowUsage>,
 }
 
-impl UsageCounts {
+impl UsageMessage {
     /// Splits counts into messages that each fit a datagram; there is at least one.
-    pub fn messages(time: UnixTime, windows: Vec<WindowCounts>) -> Vec<Self> {
+    pub fn messages(time: UnixTime, windows: Vec<WindowUsage>) -> Vec<Self> {
         let empty = || Self { time: Some(time), ..Self::default() };
         let (mut messages, mut last, mut size) = (Vec::new(), empty(), 0);
-        for WindowCounts { window, counts } in windows {
+        for WindowUsage { window, counts } in windows {
             for (workspace, count) in counts {
                 let entry = workspace.as_str().len() + ENTRY_BYTES;
                 if size + entry + WINDOW_BYTES > MAX_COUNT_BYTES {
@@ -49,8 +49,7 @@
                     Some(part) => part.counts.push((workspace, count)),
                     None => {
                         size += WINDOW_BYTES;
-                        last.windows
-                            .push(WindowCounts { window, counts: vec![(workspace, count)] });
+                        last.windows.push(WindowUsage { window, counts: vec![(workspace, count)] });
                     }
                 }
                 size += entry;
--- a/core/src/usage/mod.rs
+++ b/core/src/usage/mod.rs
@@ -7,7 +7,7 @@
 
 mod clock_check;
 mod counter;
-mod counts;
+mod message;
 mod record;
 mod reporter;
 mod tally;
@@ -15,7 +15,7 @@
 mod window;
 
 pub use {
-    clock_check::*, counter::*, counts::*, record::*, reporter::*, tally::*, true_time::*,
+    clock_check::*, counter::*, message::*, record::*, reporter::*, tally::*, true_time::*,
     window::*,
 };
 
--- a/core/src/usage/tally.rs
+++ b/core/src/usage/tally.rs
@@ -1,5 +1,5 @@
 use {
-    super::{UnixTime, WindowCounts, WindowId, WindowLength, KEEP_TIME},
+    super::{UnixTime, WindowId, WindowLength, WindowUsage, KEEP_TIME},
     crate::{ids::WorkspaceId, order::Holder},
     std::collections::{BTreeMap, HashMap},
 };
@@ -16,7 +16,7 @@
 
 impl UsageTally {
     /// Merges counts of a process; returns by how much they increased.
-    pub fn merge(&mut self, from: &Holder, counts: WindowCounts) -> u64 {
+    pub fn merge(&mut self, from: &Holder, counts: WindowUsage) -> u64 {
         let window = self.windows.entry(counts.window).or_default();
         let known = window.entry(from.clone()).or_default();
         let mut increase = 0;
--- a/core/src/usage/tests.rs
+++ b/core/src/usage/tests.rs
@@ -35,9 +35,9 @@
     (Time::from_millis(100_000 + ms), UnixTime(BEGIN + ms))
 }
 
-fn counts(window: u64, counts: &[(usize, u64)]) -> WindowCounts {
+fn counts(window: u64, counts: &[(usize, u64)]) -> WindowUsage {
     let counts = counts.iter().map(|(w, n)| (workspace(*w), *n)).collect();
-    WindowCounts { window: WindowId(window), counts }
+    WindowUsage { window: WindowId(window), counts }
 }
 
 fn record(next: u64, reports: &[(u64, bool)]) -> UsageRecord {
@@ -88,7 +88,7 @@
     let all: Vec<_> = (0..2)
         .map(|w| counts(WINDOW + w, &(0..300).map(|i| (i, i as u64)).collect::<Vec<_>>()))
         .collect();
-    let messages = UsageCounts::messages(at(0).1, all.clone());
+    let messages = UsageMessage::messages(at(0).1, all.clone());
     assert!(messages.len() > 1);
     let mut tally = UsageTally::default();
     // In reverse order and with repeats.
@@ -104,8 +104,8 @@
         assert_eq!(sum, expected.counts.into_iter().collect());
     }
     let few = counts(WINDOW, &(0..80).map(|i| (i, 1)).collect::<Vec<_>>());
-    assert_eq!(UsageCounts::messages(at(0).1, vec![few]).len(), 2);
-    assert_eq!(UsageCounts::messages(at(0).1, Vec::new()).len(), 1);
+    assert_eq!(UsageMessage::messages(at(0).1, vec![few]).len(), 2);
+    assert_eq!(UsageMessage::messages(at(0).1, Vec::new()).len(), 1);
 }
 
 /// Guards against double counts after a repeated or reordered message, and against the loss of what
--- a/node/src/usage/counts.rs
+++ b/node/src/usage/counts.rs
@@ -2,13 +2,13 @@
     super::Usage,
     crate::{
         app::{App, CellHolder},
-        mesh::send_usage_counts,
+        mesh::send_usage,
     },
     lentil_core::{
         clock::Time,
         ids::{CellId, Fence},
         order::Holder,
-        usage::{UnixTime, UsageCounts, WindowId},
+        usage::{UnixTime, UsageMessage, WindowId},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -19,6 +19,9 @@
 /// Most instances with which the counts of a window in progress are sent. With more, the holder gets
 /// only the counts of ended windows, and what is lost with one instance is a smaller part of all.
 const MAX_CONTINUOUS: u32 = 400;
+/// Age of the windows whose counts are sent again after a message could not be sent; those of older
+/// windows are not expected any more.
+const RESEND_AGE: Duration = Duration::from_secs(15);
 /// Deviation of the own time from the holder's from which it is corrected.
 const MAX_DEVIATION_MS: i64 = 200;
 /// Longest delay of the counts that a new holder gets, so that they do not all arrive at once.
@@ -29,14 +32,16 @@
     let Some((cell, messages)) = next_messages(app) else { return };
     let holder = app.holders().holder(&cell).cloned();
     let Some(holder) = holder.filter(|h| h.holder != app.identity) else { return };
-    for message in messages {
-        let id = holder.holder.instance.clone();
-        send_usage_counts(app, holder.address, id, message).await;
+    let sent = send_usage(app, holder.address, &holder.holder.instance, messages).await;
+    if let Some(mut usage) = app.usage().filter(|_| !sent) {
+        let from = usage.time.at(app.now()).earlier(RESEND_AGE);
+        let from = usage.timing.length.window_at(from);
+        usage.counter.send_again(from);
     }
 }
 
 /// Returns the messages to be sent now, with the cell whose holder gets them.
-fn next_messages(app: &App) -> Option<(CellId, Vec<UsageCounts>)> {
+fn next_messages(app: &App) -> Option<(CellId, Vec<UsageMessage>)> {
     let now = app.now();
     let wall = app.clock.unix_time();
     let open = app.member_view().fleet_size(now).is_none_or(|size| size <= MAX_CONTINUOUS);
@@ -66,14 +71,19 @@
         return None;
     }
     usage.sent = Some(now);
-    Some((cell, UsageCounts::messages(time, windows)))
+    Some((cell, UsageMessage::messages(time, windows)))
 }
 
 /// Handles a message of another instance.
-pub fn record_message(app: &Arc<App>, address: SocketAddr, from: Holder, message: UsageCounts) {
+pub(crate) fn record_message(
+    app: &Arc<App>,
+    address: SocketAddr,
+    from: &Holder,
+    message: UsageMessage,
+) {
     match message.fence {
         Some(fence) => record_announcement(app, address, from, (fence, message)),
-        None => record_counts(app, address, &from, message),
+        None => record_counts(app, address, from, message),
     }
 }
 
@@ -82,8 +92,8 @@
 fn record_announcement(
     app: &Arc<App>,
     address: SocketAddr,
-    from: Holder,
-    (fence, message): (Fence, UsageCounts),
+    from: &Holder,
+    (fence, message): (Fence, UsageMessage),
 ) {
     let now = app.now();
     let Some(cell) = app.usage().map(|u| u.cell.clone()) else { return };
@@ -91,7 +101,7 @@
     if known.is_some_and(|k| k > fence) {
         return;
     }
-    app.holders().record_holder(&cell, CellHolder { holder: from, address, fence });
+    app.holders().record_holder(&cell, CellHolder { holder: from.clone(), address, fence });
     let Some(mut usage) = app.usage() else { return };
     usage.heard = Some(now);
     if let Some(time) = message.time {
@@ -121,7 +131,7 @@
 
 /// Merges another instance's counts, if this one holds the duty, and answers with the time if the
 /// other one's is wrong.
-fn record_counts(app: &Arc<App>, address: SocketAddr, from: &Holder, message: UsageCounts) {
+fn record_counts(app: &Arc<App>, address: SocketAddr, from: &Holder, message: UsageMessage) {
     let now = app.now();
     let Some(mut usage) = app.usage() else { return };
     if let Some(time) = message.time {
@@ -143,7 +153,7 @@
     let (app, id) = (app.clone(), from.instance.clone());
     tokio::spawn(async move {
         if let Some(message) = super::holder::announcement(&app) {
-            send_usage_counts(&app, address, id, message).await;
+            send_usage(&app, address, &id, vec![message]).await;
         }
     });
 }
--- a/node/src/usage/holder.rs
+++ b/node/src/usage/holder.rs
@@ -7,13 +7,13 @@
     crate::{
         app::{random_id, App, CellHolder, Phase},
         control::HeldCell,
-        mesh::{broadcast_usage_counts, send_usage_counts},
+        mesh::{broadcast_usage, send_usage},
         ports::{ApiError, DutyCall, PlatformApi, UsageReport},
     },
     lentil_core::{
         clock::Time,
         mesh::Update,
-        usage::{CallEnd, FixedReport, ReportTiming, Reporter, UnixTime, UsageCounts, WindowId},
+        usage::{CallEnd, FixedReport, ReportTiming, Reporter, UnixTime, UsageMessage, WindowId},
     },
     std::{fmt, sync::Arc, time::Duration},
     tokio::time::sleep,
@@ -71,7 +71,7 @@
 }
 
 /// Returns this instance's announcement that it holds the duty, if it does.
-pub(super) fn announcement(app: &App) -> Option<UsageCounts> {
+pub(super) fn announcement(app: &App) -> Option<UsageMessage> {
     let now = app.now();
     let cell = app.usage()?.cell.clone();
     let fence = app.holders().holder(&cell).filter(|h| h.holder == app.identity)?.fence;
@@ -80,7 +80,7 @@
     }
     let usage = app.usage()?;
     let time = usage.time_compared.then(|| usage.time.at(now));
-    Some(UsageCounts { time, fence: Some(fence), from: usage.next, windows: Vec::new() })
+    Some(UsageMessage { time, fence: Some(fence), from: usage.next, windows: Vec::new() })
 }
 
 impl<'a> HeldDuty<'a> {
@@ -211,13 +211,13 @@
         let Some(message) = announcement(self.app) else { return };
         if self.announcements < BROADCASTS {
             self.announcements += 1;
-            return broadcast_usage_counts(self.app, message).await;
+            return broadcast_usage(self.app, message).await;
         }
         // One more than there are candidates, as the holder may be one of them.
         let cell = self.held.cell.as_str();
         let members = self.app.member_view().first_by_hash(cell, CANDIDATES + 1);
         for member in members {
-            send_usage_counts(self.app, member.address, member.id, message.clone()).await;
+            send_usage(self.app, member.address, &member.id, vec![message.clone()]).await;
         }
     }
 
--- a/node/src/usage/mod.rs
+++ b/node/src/usage/mod.rs
@@ -9,10 +9,8 @@
 mod record_store;
 mod state;
 
-pub use {
-    counts::{record_message, send_counts},
-    state::Usage,
-};
+pub(crate) use counts::record_message;
+pub use {counts::send_counts, state::Usage};
 
 use {
     crate::app::App,
