--- a/core/src/mesh/extension.rs
+++ b/core/src/mesh/extension.rs
@@ -53,10 +53,12 @@
     pub share: f64,
 }
 
-/// Cumulative counts of the sender's incarnation, for the holder of the duty of usage reports.
+/// Cumulative counts of the sender's incarnation, for the holder of the duty of usage reports; or,
+/// with `holder`, the holder's announcement, without counts.
 #[derive(Clone, PartialEq, Message)]
 pub struct UsageCounts {
-    /// The sender's estimate of true time at sending, in milliseconds since the start of 1970.
+    /// The sender's estimate of true time at sending, in milliseconds since the start of 1970; 0 if
+    /// it has not been compared with others.
     #[prost(uint64, tag = "1")]
     pub sent_ms: u64,
     /// The windows, in any order.
@@ -68,6 +70,12 @@
     /// Number of parts into which the message was split.
     #[prost(uint32, tag = "4")]
     pub parts: u32,
+    /// Fencing number of the sender, if it holds the duty.
+    #[prost(uint64, optional, tag = "5")]
+    pub holder: Option<u64>,
+    /// First window whose report the sender has not fixed, if it holds the duty.
+    #[prost(uint64, optional, tag = "6")]
+    pub next: Option<u64>,
 }
 
 /// Counts of one window at one instance.
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -24,6 +24,7 @@
         reach::ReachChecks,
         relay::RelayLinks,
         run::Investigations,
+        usage::Usage,
     },
     lentil_core::{
         clock::Time,
@@ -140,6 +141,7 @@
     reach: Mutex<ReachTable>,
     reach_checks: Mutex<ReachChecks>,
     holders: Mutex<Holders>,
+    usage: Option<Mutex<Usage>>,
     /// Greatest manifest revision reported by any instance.
     latest_revision: Mutex<Revision>,
 }
@@ -203,6 +205,7 @@
             reach: Mutex::default(),
             reach_checks: Mutex::default(),
             holders: Mutex::default(),
+            usage: Usage::new(&settings, &clock).map(Mutex::new),
             latest_revision: Mutex::default(),
             settings,
             identity,
@@ -293,6 +296,12 @@
         lock(&self.holders)
     }
 
+    /// Locks the state of the usage reports; `None` if usage is not reported. No other lock is taken
+    /// meanwhile.
+    pub fn usage(&self) -> Option<MutexGuard<'_, Usage>> {
+        self.usage.as_ref().map(lock)
+    }
+
     /// Returns the active manifest, with its look-up tables.
     ///
     /// # Errors
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -20,6 +20,7 @@
 pub(crate) use ask::ask;
 use send::broadcast;
 pub(crate) use send::send_datagram;
+pub(crate) use usage_counts::{broadcast_usage, send_usage};
 pub use {
     ask::Questions,
     crash_news::{clear_parts, report_crash, ReportedBy},
