Targets ordered by demand

Cause: the targets of a service with `autoscale` were a fixed fleet, although the platform bills them by the second and has spot targets at a fifth of the price.

Change: the holder of a service's cell measures how many targets the load keeps busy, derives how many are needed with room for bursts (core/src/plan/scaling_load.rs), divides them over zones and kinds (scaling_layout.rs) and gives one order at a time (scaler.rs, scaling_group.rs). node/src/control/scaling.rs stores the numbers under cells/CELL/scaling before it sends an order, beside the tick. The fencing number is that of the cell's take-over. Nothing is ordered until the lease and the longest call of an earlier holder are over and the load is known. Roles: no change begins for an engine that may be about to be removed, and a role that is short of engines for the ordered numbers gets one. `spot` and `leaves_ms` of registrations are decoded and stay out of the messages between instances, whose encoding is unchanged.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -3,8 +3,8 @@
     crate::{
         clock::Time,
         ids::{
-            AdapterId, EngineId, Incarnation, ModelId, Region, SoftwareVersion, TokenRate, Tokens,
-            Zone,
+            AdapterId, EngineId, Incarnation, Millis, ModelId, Region, SoftwareVersion, TokenRate,
+            Tokens, Zone,
         },
         limit::{AnnouncedLimit, Breaker, LocalSchedule, PermitSchedule},
         manifest::{EngineRates, EngineSpec, Role},
@@ -70,6 +70,10 @@
     pub unavailable: bool,
     /// When it last completed an answer for this instance.
     pub last_answer: Time,
+    /// Whether the platform may reclaim it; `None` while this is not known.
+    pub spot: Option<bool>,
+    /// Time until it is reclaimed, as of its latest registration.
+    pub leaves: Option<Millis>,
 }
 
 impl EngineView {
@@ -94,6 +98,8 @@
             unpermitted: LocalSchedule::default(),
             held: Time::ZERO,
             last_answer: Time::ZERO,
+            spot: Some(false),
+            leaves: None,
             leaving: false,
             draining: false,
             unavailable: false,
@@ -128,6 +134,8 @@
             unpermitted: LocalSchedule::default(),
             held: Time::ZERO,
             last_answer: Time::ZERO,
+            spot: target.spot,
+            leaves: target.leaves,
             leaving: target.leaving,
             draining: false,
             unavailable: false,
--- a/core/src/fleet/prefix_locations.rs
+++ b/core/src/fleet/prefix_locations.rs
@@ -88,6 +88,14 @@
         copies.filter(move |c| now - c.used_at < PREFIX_EXPIRY).map(|c| (&c.engine, c.progress))
     }
 
+    /// Returns the number of prefixes that were used at an engine for which `counts` holds.
+    pub fn count_at(&self, counts: impl Fn(&EngineId) -> bool, now: Time) -> usize {
+        let used = |copies: &&SmallVec<[PrefixCopy; 4]>| {
+            copies.iter().any(|c| now - c.used_at < PREFIX_EXPIRY && counts(&c.engine))
+        };
+        self.prefixes.values().filter(used).count()
+    }
+
     /// Removes an engine that lost its memory from the locations of every prefix.
     pub fn remove_engine(&mut self, engine: &EngineId) {
         self.prefixes.values_mut().for_each(|copies| copies.retain(|c| c.engine != *engine));
--- a/core/src/fleet/registration.rs
+++ b/core/src/fleet/registration.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        ids::{EngineId, Incarnation, ModelId, Region, Revision, SoftwareVersion, Zone},
+        ids::{EngineId, Incarnation, Millis, ModelId, Region, Revision, SoftwareVersion, Zone},
         manifest::Role,
     },
     serde::{Deserialize, Serialize},
@@ -32,6 +32,13 @@
     pub leaving: bool,
     /// Version of its model weights; `None` if it has none.
     pub weights: Option<u64>,
+    /// Whether the platform may reclaim it; `None` if another instance reported it. Instances of
+    /// earlier versions exchange registrations too, so the encoding between instances omits it.
+    #[serde(skip)]
+    pub spot: Option<bool>,
+    /// Time until it is reclaimed, as of the registration; not known from other instances either.
+    #[serde(skip)]
+    pub leaves: Option<Millis>,
 }
 
 /// One change to the platform's directory of targets.
--- a/core/src/gate/tests.rs
+++ b/core/src/gate/tests.rs
@@ -23,6 +23,8 @@
         role: Role::Decode,
         leaving,
         weights: None,
+        spot: None,
+        leaves: None,
         boot: Incarnation(boot),
     }
 }
--- a/core/src/plan/mod.rs
+++ b/core/src/plan/mod.rs
@@ -1,4 +1,5 @@
-//! Planning of role changes: how many engines of a model prefill and how many decode.
+//! Planning of role changes, how many engines of a model prefill and how many decode, and of the
+//! number of targets that are ordered by demand.
 
 mod capacity;
 mod demand;
@@ -6,8 +7,16 @@
 mod planner;
 mod request;
 mod role_balancer;
+mod scaler;
+mod scaling_counts;
+mod scaling_group;
+mod scaling_layout;
+mod scaling_load;
 
-pub use {capacity::*, demand::*, demand_meter::*, planner::*, request::*, role_balancer::*};
+pub use {
+    capacity::*, demand::*, demand_meter::*, planner::*, request::*, role_balancer::*, scaler::*,
+    scaling_counts::*, scaling_layout::layout, scaling_load::*,
+};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/plan/role_balancer.rs
+++ b/core/src/plan/role_balancer.rs
@@ -22,7 +22,7 @@
 const REVERSAL_DELAY: Duration = Duration::from_secs(20);
 /// Fewest decoding engines if there are others: with a single one, the service stops for seconds when
 /// that one leaves.
-const MIN_DECODING: usize = 2;
+pub const MIN_DECODING: usize = 2;
 /// Share of the engines that may be out of service for a role change at the same time.
 const MAX_UNAVAILABLE_SHARE: f64 = 0.2;
 
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -153,6 +153,8 @@
         software: "v1".parse().unwrap(),
         leaving: false,
         weights: None,
+        spot: None,
+        leaves: None,
     };
     let mut view = EngineView::from_registration(&target);
     let in_flight = view.load.in_flight.as_mut().unwrap();
--- a/core/tests/homes.rs
+++ b/core/tests/homes.rs
@@ -47,6 +47,8 @@
         software: "v1".parse().unwrap(),
         leaving: false,
         weights: None,
+        spot: None,
+        leaves: None,
     });
     engine.rates.prefill = TokenRate(TOKENS_PER_S);
     engine
--- a/core/tests/load/mod.rs
+++ b/core/tests/load/mod.rs
@@ -41,6 +41,8 @@
         software: "v1".parse().unwrap(),
         leaving: false,
         weights: None,
+        spot: None,
+        leaves: None,
     })
 }
 
--- a/core/tests/origins.rs
+++ b/core/tests/origins.rs
@@ -51,6 +51,8 @@
         software: software.clone(),
         leaving: false,
         weights: None,
+        spot: None,
+        leaves: None,
     })
 }
 
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -35,6 +35,9 @@
     pub last_read: Time,
     /// Software versions of targets that are gone.
     pub software: SoftwareHistory,
+    /// Whether all targets are to be read from the directory, since something of them is not known
+    /// that other instances do not relay.
+    pub read_wanted: bool,
     /// What targets said of themselves in their answers.
     notices: TargetNotices,
     pauses: HashMap<EngineId, Pause>,
@@ -48,6 +51,8 @@
     pub prefill: RunningMean,
     /// Seconds that a plain request occupies a slot.
     pub service_time: RunningMean,
+    /// Tokens that a long prompt shares with others.
+    pub shared_tokens: RunningMean,
 }
 
 /// Current state of a plain service's target, as known to this instance.
@@ -142,6 +147,8 @@
         engine.leaving = leaving;
         engine.role = target.role;
         engine.model = target.service.clone();
+        engine.spot = target.spot.or(engine.spot);
+        engine.leaves = target.leaves.or(engine.leaves);
         changed
     }
 
@@ -199,6 +206,11 @@
         self.software.sole(&self.engines, service, now)
     }
 
+    /// Returns what is learned of a service's targets.
+    pub fn learned_rates(&self, service: &ModelId) -> LearnedRates {
+        self.learned.get(service).copied().unwrap_or_default()
+    }
+
     /// Updates the learned rates of a service, and applies them to all its targets.
     pub fn update_rates(&mut self, service: &ModelId, observe: impl FnOnce(&mut LearnedRates)) {
         let rates = self.learned.entry(service.clone()).or_default();
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -7,11 +7,11 @@
     crate::app::{App, Fleet},
     lentil_core::{
         clock::Time,
-        fleet::EngineView,
+        fleet::{EngineView, MAX_MIXED_PREFILL_SHARE},
         ids::{CellId, EngineId},
         manifest::Role,
         order::Order,
-        plan::{RoleBalancer, Split, Utilization},
+        plan::{PerRole, RoleBalancer, Split, Utilization, MIN_DECODING},
     },
 };
 
@@ -39,15 +39,19 @@
         let split: Split = serving.iter().map(|e| e.role).chain(target_roles).collect();
         let utilization = utilization(&serving, now);
         let balancer = self.balancer.get_or_insert_with(|| RoleBalancer::new(now));
-        let role = balancer.decide(utilization, split, self.changes.len(), now)?;
+        let balanced = balancer.decide(utilization, split, self.changes.len(), now);
         let mean = balancer.mean();
+        let role = balanced.or_else(|| self.role_short_for_scaling(&serving, now))?;
         let eligible = |e: &&&EngineView| {
             let last = role == Role::Prefill && is_last_decoding(&serving, e);
             e.role != role && !last && !e.is_held(now) && !self.unsettled.contains(&e.id)
         };
         // An engine that fails has little load, but may not be there to take the order.
         let key = |e: &&&EngineView| (!e.breaker.allows(now), expected_load(e, now));
-        let engine = serving.iter().filter(eligible).min_by_key(key)?;
+        // A service that hardly decodes needs an engine whichever it is.
+        let urgent = role == Role::Decode && split.decode < MIN_DECODING;
+        let stays = |e: &&&EngineView| urgent || !self.may_be_removed(e);
+        let engine = serving.iter().filter(eligible).filter(stays).min_by_key(key)?;
         log::info!(
             "control: cell={} engine={} to={role} prefilling={} decoding={} prefill_use={:.2} decode_use={:.2}",
             self.cell,
@@ -88,10 +92,30 @@
 }
 
 /// Returns the registered engines of a cell.
-fn cell_engines<'a>(fleet: &'a Fleet, cell: &'a CellId) -> impl Iterator<Item = &'a EngineView> {
+pub(super) fn cell_engines<'a>(
+    fleet: &'a Fleet,
+    cell: &'a CellId,
+) -> impl Iterator<Item = &'a EngineView> {
     fleet.engines.iter().filter(|e| cell_of(e) == *cell)
 }
 
+/// Returns how many engines of each role the expected work keeps busy at `now`.
+pub(super) fn busy_targets(engines: &[&EngineView], now: Time) -> PerRole<f64> {
+    let mut busy = PerRole { prefill: 0.0, decode: 0.0 };
+    for engine in engines {
+        let load = engine.load.expected(engine.prefill_rate(), 1, now);
+        let prefill = (load.queued.0 as f64 / engine.prefill_rate() / FULL_QUEUE_S).min(1.0);
+        match engine.role {
+            Role::Prefill => busy.prefill += prefill,
+            Role::Decode => {
+                let slots = f64::from(load.running) / f64::from(engine.rates.slots.max(1));
+                busy.decode += slots.max(prefill / MAX_MIXED_PREFILL_SHARE).min(1.0);
+            }
+        }
+    }
+    busy
+}
+
 /// Returns the expected utilization of the engines of each role at `now`.
 fn utilization(engines: &[&EngineView], now: Time) -> Utilization {
     let (mut prefill, mut prefilling) = (0.0, 0);
--- a/node/src/control/cell_lease.rs
+++ b/node/src/control/cell_lease.rs
@@ -13,6 +13,9 @@
     lease: Mutex<Option<Lease>>,
     /// Held while an order is being sent, so that stepping down can wait for its end.
     pub(super) order_lock: tokio::sync::Mutex<()>,
+    /// Held while the platform's API is being called, for the same purpose. A call takes longer than
+    /// an order to an engine, and must not delay one.
+    pub(super) api_lock: Arc<tokio::sync::Mutex<()>>,
 }
 
 impl CellLease {
@@ -51,6 +54,7 @@
     let cell_lease = app.cell_leases.get(cell);
     cell_lease.set(None);
     let _no_order_in_flight = cell_lease.order_lock.lock().await;
+    let _no_call_in_flight = cell_lease.api_lock.lock().await;
     log::info!("control: stepped down from cell {cell}");
     true
 }
--- a/node/src/control/controller.rs
+++ b/node/src/control/controller.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         change::Change, demand, engine_specs, evidence::EvidenceSearch, held_cell::HeldCell,
-        placement::ReportedEngine,
+        placement::ReportedEngine, scaling::Scaling,
     },
     crate::{
         app::{App, CellHolder, Phase},
@@ -50,12 +50,14 @@
     pub(super) changes: Vec<Change>,
     planners: HashMap<ModelId, Planner>,
     pub(super) balancer: Option<RoleBalancer>,
+    /// Numbers of targets that are ordered by demand, once they are known.
+    pub(super) scaling: Option<Scaling>,
     evidence: EvidenceSearch,
     held: Option<HeldCell>,
     /// When this instance last tried to acquire the cell.
     last_attempt: Option<Time>,
     /// When this instance acquired the cell.
-    acquired: Time,
+    pub(super) acquired: Time,
     /// When this instance last tried to settle open orders.
     last_settle: Time,
     /// Engines whose latest order is still open.
@@ -71,6 +73,7 @@
             changes: Vec::new(),
             planners: HashMap::new(),
             balancer: None,
+            scaling: None,
             evidence: EvidenceSearch::default(),
             held: None,
             last_attempt: None,
@@ -151,6 +154,8 @@
         self.changes.drain(..).for_each(|change| change.abandon(app));
         self.planners.clear();
         self.balancer = None;
+        self.scaling = None;
+        app.metrics.scaled_targets.reset();
         app.metrics.held_cells.dec();
         app.metrics.frozen_engines.set(0);
     }
@@ -222,10 +227,11 @@
         result?;
         if app.settings.hosted.is_some() {
             // An earlier holder's last order may still be in progress.
-            if app.now() - self.acquired >= app.settings.control.lease.duration() {
+            let settled = app.now() - self.acquired >= app.settings.control.lease.duration();
+            if settled && !engine_specs::is_plain(app, &self.cell) {
                 self.balance_roles(app);
             }
-            return Ok(());
+            return self.scale_targets(app, held).await;
         }
         let Ok(index) = app.manifest_index() else { return Ok(()) };
         let engines = self.read_engines(app, &index).await;
--- a/node/src/control/engine_specs.rs
+++ b/node/src/control/engine_specs.rs
@@ -4,7 +4,8 @@
         fleet::EngineView,
         ids::{CellId, EngineId, ModelId, ServiceId},
         manifest::EngineSpec,
-        routes::RouteTable,
+        routes::{RouteTable, ServiceConfig},
+        settings::DutyKind,
     },
     std::collections::BTreeSet,
 };
@@ -22,7 +23,31 @@
     let fleet = app.fleet();
     let local =
         fleet.engines.iter().filter(|e| e.region == *region && takes_orders(&table, &e.model));
-    local.map(cell_of).collect()
+    let mut cells: BTreeSet<CellId> = local.map(cell_of).collect();
+    let scaled = table.services.iter().filter(|(_, c)| is_scaled(app, c));
+    cells.extend(scaled.map(|(id, _)| cell_name(region.as_str(), id.as_str())));
+    cells
+}
+
+/// Returns whether this deployment orders a service's targets by demand.
+fn is_scaled(app: &App, config: &ServiceConfig) -> bool {
+    let api = app.settings.hosted.as_ref().and_then(|h| h.api.as_ref());
+    api.is_some_and(|a| a.has(DutyKind::Autoscale)) && config.scaling.is_some()
+}
+
+/// Returns the service of a cell with its configuration, if its targets are ordered by demand.
+pub(super) fn scaled_service(app: &App, cell: &CellId) -> Option<(ServiceId, ServiceConfig)> {
+    let table = app.routes().ok()?;
+    let region = app.settings.region.as_str();
+    let mut scaled = table.services.iter().filter(|(_, config)| is_scaled(app, config));
+    let (service, config) = scaled.find(|(id, _)| cell_name(region, id.as_str()) == *cell)?;
+    Some((service.clone(), config.clone()))
+}
+
+/// Returns whether the targets of a cell's service take no orders themselves: they are only ordered
+/// from the platform.
+pub(super) fn is_plain(app: &App, cell: &CellId) -> bool {
+    scaled_service(app, cell).is_some_and(|(_, config)| config.engine.is_none())
 }
 
 /// Returns an engine's specification, from the manifest or from its registration.
@@ -50,10 +75,12 @@
 ///
 /// The service's name alone is used where it is too long to be joined with the region's.
 pub(super) fn cell_of(engine: &EngineView) -> CellId {
-    let name = format!("{}/{}", engine.region, engine.model);
-    name.parse().unwrap_or_else(|_| {
-        engine.model.as_str().parse().expect("a model name is a valid cell name")
-    })
+    cell_name(engine.region.as_str(), engine.model.as_str())
+}
+
+fn cell_name(region: &str, service: &str) -> CellId {
+    let name = format!("{region}/{service}");
+    name.parse().unwrap_or_else(|_| service.parse().expect("a service's name is a valid cell name"))
 }
 
 /// Returns whether this instance is cut off from all services of a cell, so that no order of it would
--- a/node/src/control/held_cell.rs
+++ b/node/src/control/held_cell.rs
@@ -8,7 +8,7 @@
         ports::{StoreEntry, StoreError},
     },
     lentil_core::{
-        ids::{CellId, LeaseId, Revision},
+        ids::{CellId, Fence, LeaseId, Revision},
         order::{Lease, Ledger},
     },
     std::{sync::Arc, time::Duration},
@@ -23,6 +23,9 @@
     pub cell: CellId,
     pub cell_lease: Arc<CellLease>,
     pub ledger: Ledger,
+    /// Number of the take-over, which identifies this holder in calls to the platform's API. The
+    /// ledger's number grows with each order, so that of the next take-over is greater.
+    pub fence: Fence,
     revision: Revision,
 }
 
@@ -50,8 +53,13 @@
             let old = read_ledger(app, cell).await?;
             let (old, base) = old.map_or((None, Revision(0)), |(l, r)| (Some(l), r));
             let ledger = Ledger::take_over(old.as_ref(), app.identity.clone(), random_id("w"));
-            let mut held =
-                Self { cell: cell.clone(), cell_lease: cell_lease.clone(), ledger, revision: base };
+            let mut held = Self {
+                cell: cell.clone(),
+                cell_lease: cell_lease.clone(),
+                fence: ledger.number,
+                ledger,
+                revision: base,
+            };
             cell_lease.set(Some(lease));
             match held.save(app).await {
                 Ok(()) => return Ok(Some(held)),
@@ -135,13 +143,14 @@
         let Some(lease) = self.cell_lease.lease() else { return };
         self.cell_lease.set(None);
         let _no_order_in_flight = self.cell_lease.order_lock.lock().await;
+        let _no_call_in_flight = self.cell_lease.api_lock.lock().await;
         count_store_call(app, "lease");
         let _ = app.ports.store.revoke(lease.id).await;
         log::info!("control: released cell {}", self.cell);
     }
 }
 
-fn count_store_call(app: &App, call: &str) {
+pub(super) fn count_store_call(app: &App, call: &str) {
     app.metrics.store_calls.with_label_values(&[call]).inc();
 }
 
--- a/node/src/control/mod.rs
+++ b/node/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod held_cell;
 mod orders;
 mod placement;
+mod scaling;
 mod store_keys;
 
 pub use {
--- a/node/src/control/store_keys.rs
+++ b/node/src/control/store_keys.rs
@@ -16,6 +16,12 @@
     format!("cells/{cell}/ledger")
 }
 
+/// Returns the store key of the numbers of targets ordered for a cell's service. Earlier versions
+/// refuse a ledger with unknown fields, so the numbers have a key of their own.
+pub fn scaling_key(cell: &CellId) -> String {
+    format!("cells/{cell}/scaling")
+}
+
 /// The value stored under a cell's holder key.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -53,6 +53,9 @@
     let drain = app.settings.hosted.as_ref().map_or(Duration::from_secs(2), |h| h.drain.duration());
     let mut relayed = app.relayed_targets.subscribe();
     loop {
+        if std::mem::take(&mut app.fleet().read_wanted) {
+            follower.full_read = None;
+        }
         let watcher = relay::is_region_watcher(&app);
         if let Some(valid_for) = follower.relay_valid_for(app.now()).filter(|_| !watcher) {
             follower.listen(&app, &mut relayed, valid_for).await;
@@ -241,14 +244,15 @@
                 }
                 if changed {
                     log::info!(
-                        "directory: target={} boot={} service={} software={:?} address={} role={} leaving={}",
+                        "directory: target={} boot={} service={} software={:?} address={} role={} leaving={} spot={}",
                         target.id,
                         target.boot,
                         target.service,
                         target.software.as_str(),
                         target.address,
                         target.role,
-                        target.leaving
+                        target.leaving,
+                        target.spot.map_or("unknown", |s| if s { "yes" } else { "no" })
                     );
                 }
             }
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -99,6 +99,11 @@
     pub platform_calls: IntCounterVec,
     /// Cells whose lease this instance holds.
     pub held_cells: IntGauge,
+    /// Targets of services that are scaled by demand, by service, zone, kind and whether they are
+    /// ordered or registered; set by the holder of the service's cell.
+    pub scaled_targets: IntGaugeVec,
+    /// Orders for targets by result.
+    pub scaling_orders: IntCounterVec,
     /// Resends that this instance may make now, summed over all services.
     pub resends_left: IntGauge,
     /// Resident memory of the process in bytes.
@@ -260,6 +265,18 @@
                 &["call", "result"],
             ),
             held_cells: gauge("lentil_cells_held", "Cells whose engines are ordered from here"),
+            scaled_targets: register(
+                &r,
+                IntGaugeVec::new(
+                    Opts::new("lentil_scaled_targets", "Targets ordered by demand"),
+                    &["service", "zone", "kind", "state"],
+                ),
+            ),
+            scaling_orders: counters(
+                "lentil_scaling_orders_total",
+                "Orders for targets by how they ended",
+                &["end"],
+            ),
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
             labelled: Mutex::default(),
--- a/node/src/run/prefill.rs
+++ b/node/src/run/prefill.rs
@@ -6,7 +6,7 @@
         task::MIN_RATE_TOKENS,
     },
     crate::ports::EngineError,
-    lentil_core::gate::SendKind,
+    lentil_core::{gate::SendKind, route::shared_prefix_tokens},
     std::time::Duration,
 };
 
@@ -35,6 +35,9 @@
                 self.task.record_sign(&target);
                 self.task.record_success(&target);
                 self.task.record_prefix_ready(&target);
+                let shared = shared_prefix_tokens(&self.task.request.routing).0 as f64;
+                let model = &self.task.request.routing.model;
+                app.fleet().update_rates(model, |rates| rates.shared_tokens.observe(shared));
                 let elapsed = app.now() - start;
                 // An assumed hit may have been none, and then the engine read more.
                 if idle && !self.choice.assumed {
