--- a/core/src/plan/scaler.rs
+++ b/core/src/plan/scaler.rs
@@ -47,6 +47,8 @@
     /// Whether orders may be given now: the directory is known, and no earlier holder's call can be
     /// in flight.
     pub may_order: bool,
+    /// Whether targets may be removed: most of the instances, and with them their work, are known.
+    pub may_remove: bool,
 }
 
 /// Number of targets needed, by role.
@@ -315,7 +317,7 @@
         let used = fast.zip(serving, |busy, n| busy / f64::from(n.max(1)));
         let short =
             serving.prefill < self.need.held.prefill || serving.decode < self.need.held.decode;
-        let early = !self.meter.period_seen(now);
+        let early = !input.may_remove || !self.meter.period_seen(now);
         if early
             || recent
             || pending
--- a/core/tests/platform/mod.rs
+++ b/core/tests/platform/mod.rs
@@ -46,6 +46,7 @@
     /// If set, calls get no response; the value says whether they are carried out.
     pub lose: Option<bool>,
     pub may_order: bool,
+    pub may_remove: bool,
     /// Role of new targets; `None` alternates.
     pub new_role: Option<Role>,
     /// Number of ticks with more work than targets in a role.
@@ -85,6 +86,7 @@
             unavailable: None,
             lose: None,
             may_order: true,
+            may_remove: true,
             new_role: None,
             overloaded: 0,
             cost: 0.0,
@@ -131,6 +133,7 @@
             busy,
             caching: 0,
             may_order: self.may_order,
+            may_remove: self.may_remove,
         };
         if let Some(order) = self.scaler.decide(&input, time) {
             self.scaler.begin(&order, time);
--- a/core/tests/scaling.rs
+++ b/core/tests/scaling.rs
@@ -153,6 +153,17 @@
     assert!(platform.orders.is_empty(), "an earlier holder's call may be in flight");
 }
 
+/// Guards against removal by a holder that sees the work of few instances.
+#[test]
+fn scaler_adds_but_does_not_remove_while_most_instances_are_unknown() {
+    let mut platform = Platform::start(5);
+    platform.may_remove = false;
+    platform.run(60.0, |_| Work { prefill: 1.0, decode: 1.0 });
+    platform.run(80.0, |_| Work { prefill: 9.0, decode: 9.0 });
+    assert!(platform.orders.iter().all(|(_, o)| o.to > o.from), "{:?}", platform.orders);
+    assert!(platform.orders.iter().any(|(at, _)| *at > 60.0));
+}
+
 #[test]
 fn scaler_repeats_an_order_until_the_directory_shows_it() {
     let mut platform = Platform::start(19);
--- a/node/src/control/scaling.rs
+++ b/node/src/control/scaling.rs
@@ -30,6 +30,8 @@
 /// Shortest interval between two full reads of the directory that are requested for targets whose
 /// kind is not known.
 const KIND_READ_INTERVAL: Duration = Duration::from_secs(2);
+/// Least share of the instances whose work must be known before targets are removed.
+const MIN_KNOWN_SHARE: f64 = 0.5;
 /// Share of an engine's memory that can hold shared prefixes; the rest holds the prompts at work.
 const PREFIX_MEMORY_SHARE: f64 = 0.85;
 /// Largest number of role changes at the same time that keep the split, as a share of the engines.
@@ -67,6 +69,8 @@
     /// Whether the directory is recent and the kind of each target is known.
     known: bool,
     unknown_kinds: bool,
+    /// Share of the instances whose work is known.
+    known_share: f64,
 }
 
 impl super::controller::Controller {
@@ -106,6 +110,7 @@
             busy: view.busy,
             caching: view.caching,
             may_order: waited && view.known && scaling.call.is_none(),
+            may_remove: view.known_share >= MIN_KNOWN_SHARE,
         };
         let order = scaling.scaler.decide(&input, now);
         scaling.record_metrics(app, &service, &targets);
@@ -291,21 +296,32 @@
     let mut scaling = config.scaling.clone().unwrap_or_default();
     let (own, hosted) = (&app.settings.region, app.settings.hosted.as_ref());
     scaling.prices.retain(|zone, _| hosted.is_some_and(|h| h.zones.get(zone) == Some(own)));
+    let known_share = known_share(app, now);
     let fleet = app.fleet();
     let engines: Vec<&EngineView> = cell_engines(&fleet, cell).filter(|e| !e.leaving).collect();
     let target = |e: &&EngineView| (e.zone.clone(), kind_of(e), e.role, e.accepts_work(now));
     let unknown_kinds = engines.iter().any(|e| e.spot.is_none());
     View {
         targets: engines.iter().map(target).collect(),
-        busy: busy_targets(&engines, now),
+        busy: busy_targets(&engines, now).map(|busy| busy / known_share),
         caching: caching_engines(app, &fleet, service, config, &engines, now),
         engines: config.engine.is_some(),
         known: !unknown_kinds && now - fleet.last_read < MAX_DIRECTORY_AGE,
         unknown_kinds,
+        known_share,
         config: scaling,
     }
 }
 
+/// Returns the share of the instances that are in the view. The others' work is not known: large
+/// regions do not fit a view, and a partition hides some.
+fn known_share(app: &App, now: Time) -> f64 {
+    let view = app.member_view();
+    let known = view.live().count() as f64 + 1.0;
+    let all = view.fleet_size(now).map_or(known, f64::from);
+    (known / all.max(1.0)).min(1.0)
+}
+
 /// Returns the number of prefilling engines whose memory holds the shared prefixes in use.
 fn caching_engines(
     app: &App,
