--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -110,6 +110,11 @@
     /// Clocks found wrong: `wall` is a wall clock that differs from true time, `estimate` an
     /// estimate of true time that was corrected.
     pub wrong_clocks: IntCounterVec,
+    /// Targets of services that are scaled by demand, by service, zone, kind and whether they are
+    /// ordered or registered; set by the holder of the service's cell.
+    pub scaled_targets: IntGaugeVec,
+    /// Orders for targets by result.
+    pub scaling_orders: IntCounterVec,
     /// Resends that this instance may make now, summed over all services.
     pub resends_left: IntGauge,
     /// Resident memory of the process in bytes.
@@ -292,6 +297,18 @@
                 "Times that a clock was found to be wrong",
                 &["clock"],
             ),
+            scaled_targets: register(
+                &r,
+                IntGaugeVec::new(
+                    Opts::new("lentil_scaled_targets", "Targets ordered by demand"),
+                    &["service", "zone", "kind", "state"],
+                ),
+            ),
+            scaling_orders: counters(
+                "lentil_scaling_orders_total",
+                "Orders for targets by how they ended",
+                &["end"],
+            ),
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
             labelled: Mutex::default(),
