--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -23,11 +23,6 @@
     PROXIED_CALLER.parse().map_err(|_| Fault::new(ErrorKind::BadRequest, "invalid caller name"))
 }
 
-/// Returns whether a workspace only stands for callers that belong to none.
-pub(crate) fn is_placeholder(workspace: &WorkspaceId) -> bool {
-    workspace.as_str() == PROXIED_CALLER
-}
-
 /// What the caller states about a proxied request.
 #[derive(Debug, Clone, Default)]
 pub struct RequestMetadata {
