--- a/core/src/usage/message.rs
+++ b/core/src/usage/message.rs
@@ -1,15 +1,17 @@
 use {
     super::{UnixTime, WindowId},
-    crate::ids::{Fence, WorkspaceId},
+    crate::{
+        ids::{Fence, InstanceId, WorkspaceId},
+        mesh::MAX_DATAGRAM_BYTES,
+    },
 };
 
-/// Estimated bytes of an entry beyond the workspace's name.
-const ENTRY_BYTES: usize = 8;
-/// Estimated bytes of a window beyond its entries.
-const WINDOW_BYTES: usize = 12;
-/// Estimated bytes of the entries of one message, so that it fits a datagram of 1,400 bytes with its
-/// envelope.
-const MAX_COUNT_BYTES: usize = 1_100;
+/// Bytes of a window's number, of the lengths and of the tags around its entries.
+const WINDOW_BYTES: usize = 16;
+/// Bytes of an entry beyond name and count, if the name takes up to 100 bytes.
+const ENTRY_BYTES: usize = 5;
+/// Bytes of a frame beyond the counts and the names of sender and receiver.
+const FRAME_BYTES: usize = 80;
 
 /// Requests that one instance counted in a window, cumulative since the window's beginning.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,14 +36,21 @@
 }
 
 impl UsageMessage {
-    /// Splits counts into messages that each fit a datagram; there is at least one.
-    pub fn messages(time: UnixTime, windows: Vec<WindowUsage>) -> Vec<Self> {
+    /// Splits counts into messages that each fit a datagram from one instance to another; there is at
+    /// least one.
+    pub fn messages(
+        time: UnixTime,
+        windows: Vec<WindowUsage>,
+        [from, to]: [&InstanceId; 2],
+    ) -> Vec<Self> {
+        let names = from.as_str().len() + to.as_str().len();
+        let room = MAX_DATAGRAM_BYTES - FRAME_BYTES - names;
         let empty = || Self { time: Some(time), ..Self::default() };
         let (mut messages, mut last, mut size) = (Vec::new(), empty(), 0);
         for WindowUsage { window, counts } in windows {
             for (workspace, count) in counts {
-                let entry = workspace.as_str().len() + ENTRY_BYTES;
-                if size + entry + WINDOW_BYTES > MAX_COUNT_BYTES {
+                let entry = entry_bytes(&workspace, count);
+                if size + entry + WINDOW_BYTES > room {
                     messages.push(std::mem::replace(&mut last, empty()));
                     size = 0;
                 }
@@ -59,3 +68,13 @@
         messages
     }
 }
+
+/// Returns the bytes of an entry in a frame.
+fn entry_bytes(workspace: &WorkspaceId, count: u64) -> usize {
+    let name = workspace.as_str().len();
+    // Seven bits of a number take a byte.
+    let number = (u64::BITS - count.leading_zeros()).div_ceil(7) as usize;
+    // The lengths of a long name and of its entry take two bytes each.
+    let long = if name > 100 { 2 } else { 0 };
+    name + number + long + ENTRY_BYTES
+}
--- a/node/src/usage/counts.rs
+++ b/node/src/usage/counts.rs
@@ -62,8 +62,7 @@
         return None;
     }
     if usage.served.is_none_or(|f| f < fence) {
-        usage.served = Some(fence);
-        usage.counter.send_again(WindowId(0));
+        usage.serve_holder(fence, WindowId(0));
     }
     let windows = usage.counter.take_changes(time, open);
     let due = usage.sent.is_none_or(|t| now - t >= TIME_INTERVAL);
@@ -71,7 +70,8 @@
         return None;
     }
     usage.sent = Some(now);
-    Some((cell, UsageMessage::messages(time, windows)))
+    let names = [&app.identity.instance, &holder.instance];
+    Some((cell, UsageMessage::messages(time, windows, names)))
 }
 
 /// Handles a message of another instance.
@@ -110,8 +110,7 @@
     if usage.served.is_some_and(|f| f >= fence) {
         return;
     }
-    usage.served = Some(fence);
-    usage.counter.send_again(message.from.unwrap_or_default());
+    usage.serve_holder(fence, message.from.unwrap_or_default());
     drop(usage);
     let app = app.clone();
     tokio::spawn(async move {
--- a/node/src/usage/duty.rs
+++ b/node/src/usage/duty.rs
@@ -1,5 +1,5 @@
 use {
-    super::holder::HeldDuty,
+    super::holder::{HeldDuty, Lost},
     crate::{
         app::{App, Phase},
         control::HeldCell,
@@ -59,10 +59,12 @@
     while *app.phase.borrow() == Phase::Serving {
         if let Some(held) = candidate.try_acquire(app).await {
             app.metrics.usage_holder.set(1);
-            HeldDuty::new(app, held, api.clone(), timing).run().await;
+            let lost = HeldDuty::new(app, held, api.clone(), timing).run().await;
             app.metrics.usage_holder.set(0);
-            candidate.attempts = SHORT_ATTEMPTS;
-            candidate.next_attempt = app.now() + ABSTAIN_TIME;
+            // After an outage of the store, any candidate may acquire the duty at once.
+            if lost != Lost::Lease {
+                candidate.next_attempt = app.now() + ABSTAIN_TIME;
+            }
         }
         sleep(CHECK_INTERVAL).await;
     }
--- a/node/src/usage/holder.rs
+++ b/node/src/usage/holder.rs
@@ -34,15 +34,18 @@
 const EXPIRED_LEASES: u32 = 2;
 
 /// Why the duty is no longer held.
-enum Lost {
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Lost {
     /// The instance stops.
     Stopping,
     /// The instance no longer sees most of the others.
     Isolated,
-    /// The lease has ended, or there is a later holder.
+    /// The lease has ended.
+    Lease,
+    /// There is a later holder.
     Superseded,
-    /// The stored record can't be decoded.
-    Unreadable(RecordError),
+    /// The stored record can't be decoded; holds the error.
+    Unreadable(String),
 }
 
 impl fmt::Display for Lost {
@@ -50,7 +53,8 @@
         match self {
             Self::Stopping => f.write_str("the instance stops"),
             Self::Isolated => f.write_str("most instances are not seen"),
-            Self::Superseded => f.write_str("the lease has ended or there is a later holder"),
+            Self::Lease => f.write_str("the lease has ended"),
+            Self::Superseded => f.write_str("there is a later holder"),
             Self::Unreadable(error) => write!(f, "{error}"),
         }
     }
@@ -116,7 +120,7 @@
     }
 
     /// Does the duty until it is lost or the instance stops.
-    pub(super) async fn run(mut self) {
+    pub(super) async fn run(mut self) -> Lost {
         let (app, held) = (self.app, self.held.clone());
         // Renewals do not wait for the other calls, which may take longer than the lease.
         let renewals = async {
@@ -130,17 +134,18 @@
             }
         };
         let lost = tokio::select! {
-            () = renewals => Lost::Superseded,
+            () = renewals => Lost::Lease,
             lost = self.work() => lost,
         };
         let level = match &lost {
             Lost::Stopping => log::Level::Info,
-            Lost::Isolated | Lost::Superseded => log::Level::Warn,
+            Lost::Isolated | Lost::Lease | Lost::Superseded => log::Level::Warn,
             Lost::Unreadable(_) => log::Level::Error,
         };
         let fence = self.reporter.number();
         log::log!(level, "usage: gave up the duty fence={fence} why={:?}", lost.to_string());
         self.held.release(app).await;
+        lost
     }
 
     async fn work(&mut self) -> Lost {
@@ -189,7 +194,7 @@
                 self.reporter.set_record(record);
                 Ok(true)
             }
-            Err(error @ RecordError::Invalid(_)) => Err(Lost::Unreadable(error)),
+            Err(error @ RecordError::Invalid(_)) => Err(Lost::Unreadable(error.to_string())),
             Err(error) => {
                 log::debug!("usage: record not read: {error}");
                 Ok(false)
@@ -281,7 +286,7 @@
                 self.reporter.set_record(stored);
                 Ok(())
             }
-            Err(error @ RecordError::Invalid(_)) => Err(Lost::Unreadable(error)),
+            Err(error @ RecordError::Invalid(_)) => Err(Lost::Unreadable(error.to_string())),
             Err(error) => {
                 log::info!("usage: reports not fixed: {error}");
                 Ok(())
--- a/node/src/usage/state.rs
+++ b/node/src/usage/state.rs
@@ -83,6 +83,13 @@
         self.counter.record(workspace, time);
     }
 
+    /// Has the next message to a new holder contain the time and all counts from `from` on.
+    pub(super) fn serve_holder(&mut self, fence: Fence, from: WindowId) {
+        self.served = Some(fence);
+        self.sent = None;
+        self.counter.send_again(from);
+    }
+
     /// Returns the counts of a window over all instances, as far as they are known here.
     pub(super) fn total(&self, window: WindowId) -> BTreeMap<WorkspaceId, u64> {
         let own = self.counter.counts(window);
