Cached prefixes are weighed against the wait

Every fetch of a cached prefix had the same cost of 0.08 s, and a prefix counted as held for 15 s after its last use, whatever was placed in the engine's memory since. A fetch takes 5 to 39 ms by the configuration, and with 349 to 669 prefixes a prefix is often used again after more than 15 s.

For each request and engine, the prefill avoided is weighed against the wait, the fetch behind known transfers, the probability that the prefix is evicted before the request's turn, and the cost to other requests. hosted.prefixes selects the services; by default those whose targets are ordered by demand or announce their pace, and whose configuration has the three figures. Other services, and instances that hear of less than half of the others, keep the fixed cost and the homes.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -1,10 +1,10 @@
 use {
-    super::{Availability, LoadView, Notice, Registration},
+    super::{Availability, HeldPrefixes, KvCache, LoadView, Notice, PrefixProgress, Registration},
     crate::{
         clock::Time,
         ids::{
-            AdapterId, EngineId, Incarnation, ModelId, Region, SoftwareVersion, TokenRate, Tokens,
-            Zone,
+            AdapterId, EngineId, Incarnation, ModelId, PrefixHash, Region, SoftwareVersion,
+            TokenRate, Tokens, Zone,
         },
         limit::{AnnouncedLimit, Breaker, LocalSchedule, PermitSchedule},
         manifest::{EngineRates, EngineSpec, Role},
@@ -52,6 +52,10 @@
     pub adapters: SmallVec<[AdapterId; 4]>,
     /// Estimate of its load.
     pub load: LoadView,
+    /// Its KV cache, if cached prefixes of its service are weighed against the wait.
+    pub kv: Option<KvCache>,
+    /// Shared prefixes in its memory; recorded only if `kv` is known.
+    pub held_prefixes: HeldPrefixes,
     /// Circuit breaker that stops requests to it while it fails.
     pub breaker: Breaker,
     /// Rate limit that it announces in its answers.
@@ -88,6 +92,8 @@
             boot: Incarnation(0),
             adapters: SmallVec::new(),
             load: LoadView::default(),
+            kv: None,
+            held_prefixes: HeldPrefixes::default(),
             breaker: Breaker::default(),
             limit: AnnouncedLimit::default(),
             permits: PermitSchedule::default(),
@@ -122,6 +128,8 @@
             boot: target.boot,
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
+            kv: None,
+            held_prefixes: HeldPrefixes::default(),
             breaker: Breaker::default(),
             limit: AnnouncedLimit::default(),
             permits: PermitSchedule::default(),
@@ -180,6 +188,20 @@
         !self.leaving && !self.unavailable && !self.is_held(now)
     }
 
+    /// Records that a prompt with a shared prefix was sent to the engine, or that the prefix is in
+    /// its memory, if its KV cache is known.
+    pub fn record_prefix(
+        &mut self,
+        prefix: PrefixHash,
+        progress: PrefixProgress,
+        tokens: Option<Tokens>,
+        now: Time,
+    ) {
+        if self.kv.is_some() {
+            self.held_prefixes.record(prefix, progress, tokens, now);
+        }
+    }
+
     /// Takes over what this incarnation, or a later one, has said of itself.
     pub fn apply_notice(&mut self, notice: Notice) {
         self.leaving |= notice.leaving;
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -3,7 +3,10 @@
 mod availability;
 mod cache;
 mod engine;
+mod held_prefixes;
 mod in_flight;
+mod kv_cache;
+mod kv_caches;
 mod load;
 mod prefix;
 mod prefix_locations;
@@ -14,8 +17,9 @@
 mod target_notices;
 
 pub use {
-    availability::*, cache::*, engine::*, in_flight::*, load::*, prefix::*, prefix_locations::*,
-    queued_tokens::*, registration::*, running_mean::*, software_history::*, target_notices::*,
+    availability::*, cache::*, engine::*, held_prefixes::*, in_flight::*, kv_cache::*,
+    kv_caches::*, load::*, prefix::*, prefix_locations::*, queued_tokens::*, registration::*,
+    running_mean::*, software_history::*, target_notices::*,
 };
 
 #[cfg(test)]
--- a/core/src/fleet/tests.rs
+++ b/core/src/fleet/tests.rs
@@ -2,7 +2,9 @@
     super::*,
     crate::{
         clock::Time,
-        ids::{EngineId, PrefixHash, Rank, Tokens},
+        ids::{Bytes, EngineId, PrefixHash, Rank, Tokens},
+        routes::{EngineConfig, ScalingConfig, ServiceConfig},
+        settings::PrefixRule,
     },
 };
 
@@ -114,3 +116,64 @@
     locations.remove_engine(&engine);
     assert_eq!(locations.copies(prefix, at(60_000)).count(), 0);
 }
+
+/// Guards against weighing in deployments that exist already, and without a complete configuration.
+#[test]
+fn kv_caches_weigh_only_scaled_or_paced_services_by_default() {
+    let engine = EngineConfig {
+        memory: Tokens(1_000),
+        token_bytes: Bytes(10),
+        link: 1e6,
+        ..EngineConfig::default()
+    };
+    let incomplete = EngineConfig { link: 0.0, ..engine.clone() };
+    let service = |engine: &EngineConfig, scaled: bool| ServiceConfig {
+        engine: Some(engine.clone()),
+        scaling: scaled.then(ScalingConfig::default),
+        ..ServiceConfig::default()
+    };
+    let services = [
+        ("plain", service(&engine, false)),
+        ("scaled", service(&engine, true)),
+        ("incomplete", service(&incomplete, true)),
+    ];
+    let services = services.into_iter().map(|(id, s)| (id.parse().unwrap(), s)).collect();
+    let cases = [
+        (PrefixRule::Auto, [false, true, false], [true, true, false]),
+        (PrefixRule::Weighed, [true, true, false], [true, true, false]),
+        (PrefixRule::Fixed, [false; 3], [false; 3]),
+    ];
+    for (rule, before, paced) in cases {
+        let mut caches = KvCaches::default();
+        caches.configure(&services, rule);
+        let ids = ["plain", "scaled", "incomplete"].map(|id| id.parse().unwrap());
+        assert_eq!(ids.clone().map(|id| caches.of(&id).is_some()), before, "{rule:?}");
+        assert!(ids.iter().all(|id| caches.record_paced(id)));
+        assert!(!caches.record_paced(&ids[0]));
+        assert_eq!(ids.map(|id| caches.of(&id).is_some()), paced, "{rule:?} with pace");
+    }
+}
+
+/// Guards against reliance on a prefix that newer ones have evicted, and against the loss of one
+/// that is used again.
+#[test]
+fn held_prefixes_find_counts_what_was_placed_since_the_last_use() {
+    let (at, progress) = (Time::ZERO, PrefixProgress::Ready);
+    let mut held = HeldPrefixes::default();
+    for prefix in 0..10 {
+        held.record(PrefixHash(prefix), progress, Some(Tokens(100)), at);
+    }
+    held.record(PrefixHash(10), progress, None, at);
+    let newer = |held: &HeldPrefixes, prefix| {
+        held.find(PrefixHash(prefix), Tokens(50), at).map(|(_, newer)| newer)
+    };
+    assert_eq!(newer(&held, 10), Some(Tokens(0)));
+    assert_eq!(newer(&held, 8), Some(Tokens(150)));
+    held.record(PrefixHash(8), PrefixProgress::Prefilling, None, at);
+    assert_eq!(newer(&held, 8), Some(Tokens(0)));
+    assert_eq!(newer(&held, 10), Some(Tokens(100)));
+    assert_eq!(newer(&held, 11), None);
+    let cache = KvCache { memory: Tokens(1_000), token_bytes: Bytes(1), link: 1.0 };
+    assert_eq!(cache.held_probability(Tokens(700)), 1.0);
+    assert_eq!(cache.held_probability(Tokens(1_200)), 0.0);
+}
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        cost, prefix_home, Cost, Pick, PrefixCopies, RoutingOrigin, RoutingRequest,
+        cost, prefix_home, Cost, HeldCopies, Pick, PrefixCopies, RoutingOrigin, RoutingRequest,
         KV_TRANSFER_BASE_S, KV_TRANSFER_S_PER_TOKEN,
     },
     crate::{
@@ -34,7 +34,9 @@
 /// The prompt is prefilled where that completes soonest: on the decoding engine itself, or on a
 /// prefilling engine whose KV cache is then transferred. Cached blocks lower the cost of an engine
 /// and its queue raises it, so a popular prefix is copied to further engines as soon as the one
-/// that has it is busy.
+/// that has it is busy. Where the engines' memories and links are known, [`HeldCopies`] weighs the
+/// reuse of a prefix; an instance that hears of a part of the others only does not know enough for
+/// that, and relies on [`prefix_home`].
 ///
 /// An engine whose software other instances may not know yet begins a stream only if no other engine
 /// can. If all engines that could run the request fail, they are probed early.
@@ -80,8 +82,13 @@
     let mut both: Option<Candidate> = None;
     let excluded = |e: &EngineView| request.excluded.contains(&e.id);
     let eligible = |e: &EngineView| is_suitable(e, request) && !excluded(e) && accepts(e);
-    let home = origin.partial.then(|| prefix_home(engines, request, eligible)).flatten();
-    let copies = PrefixCopies::find(engines, &cache.locations, request, now).with_assumed(home);
+    let copies = match HeldCopies::find(engines, request, now).filter(|_| !origin.partial) {
+        Some(held) => PrefixCopies::weighed(held),
+        None => {
+            let home = origin.partial.then(|| prefix_home(engines, request, eligible)).flatten();
+            PrefixCopies::find(engines, &cache.locations, request, now).with_assumed(home)
+        }
+    };
     for (index, engine) in engines.iter().enumerate() {
         if !eligible(engine) {
             continue;
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PrefixCopies, RoutingOrigin, RoutingRequest},
+    super::{PrefixCopies, PrefixReuse, RoutingOrigin, RoutingRequest},
     crate::{
         clock::Time,
         fleet::{CacheIndex, EngineView, Load, BLOCK_TOKENS},
@@ -20,8 +20,8 @@
 /// Difference in cost below which engines with tracked in-flight work count as equal, so that the
 /// choice between them is random.
 const TIE_MARGIN_S: f64 = 0.002;
-/// Cost of copying a shared prefix to another engine: the transfer takes 15 ms, and the copy
-/// evicts other prefixes from that engine's KV cache.
+/// Cost of copying a shared prefix to another engine whose memory and link are unknown: the transfer
+/// takes 15 ms, and the copy evicts other prefixes from that engine's KV cache.
 const PREFIX_FETCH_S: f64 = 0.08;
 /// Network latency to an engine in another availability zone.
 const OTHER_ZONE_S: f64 = 0.002;
@@ -54,7 +54,7 @@
     pub uncertainty: f64,
     /// Prompt tokens that need no prefill here, because they are cached or can be fetched.
     pub hit: Tokens,
-    /// Whether that is only assumed of this engine.
+    /// Whether that is only assumed of this engine, or may have been evicted.
     pub assumed: bool,
     /// Running streams that a prefill on this engine would delay; 0 if they are not tracked.
     pub streams: u32,
@@ -80,17 +80,25 @@
         Some(_) => load,
         None => engine.load.expected(rate, 1, now),
     };
-    let (hit, fetch) = match engine.load.in_flight {
-        Some(_) => copies.reuse_at(index),
-        None => {
+    let permit_wait = engine.limit.wait(now).as_secs_f64();
+    let queue_wait = known.queued.0 as f64 / rate + permit_wait;
+    let assumed = copies.is_assumed(index);
+    let reuse = match (engine.load.in_flight.as_ref(), copies.held()) {
+        (Some(_), Some(held)) => held.reuse_at(engine, index, request, queue_wait, now),
+        (Some(_), None) => {
+            let (hit, fetch) = copies.reuse_at(index);
+            let others_s = if fetch.is_some() { PREFIX_FETCH_S } else { 0.0 };
+            PrefixReuse { hit, fetch, others_s, uncertain: assumed, ..PrefixReuse::default() }
+        }
+        (None, _) => {
             let hit = cache.hit_blocks(&engine.id, &request.blocks) * BLOCK_TOKENS.0 as f64;
-            (Tokens((hit as u64).min(request.prompt.0)), None)
+            let hit = Tokens((hit as u64).min(request.prompt.0));
+            PrefixReuse { hit, uncertain: assumed, ..PrefixReuse::default() }
         }
     };
+    let PrefixReuse { hit, fetch, .. } = reuse;
     let pending = (load.queued + request.prompt - hit).0 as f64;
-    let permit_wait = engine.limit.wait(now).as_secs_f64();
-    let queue_wait = known.queued.0 as f64 / rate + permit_wait;
-    let known_prefill = queue_wait + (request.prompt - hit).0 as f64 / rate;
+    let known_prefill = queue_wait + (request.prompt - hit).0 as f64 / rate + reuse.transfer_s;
     let network = match () {
         () if engine.region != origin.region => OTHER_REGION_S,
         () if engine.zone != origin.zone && engine.load.in_flight.is_some() => {
@@ -100,7 +108,7 @@
         () => 0.0,
     };
     Cost {
-        prefill: pending / rate + permit_wait + if fetch.is_some() { PREFIX_FETCH_S } else { 0.0 },
+        prefill: pending / rate + permit_wait + reuse.transfer_s + reuse.others_s,
         known_prefill,
         queue_wait,
         slot_wait: slot_wait(engine, &load, request) + permit_wait,
@@ -109,7 +117,7 @@
         utilization: f64::from(load.running + load.waiting) / f64::from(engine.rates.slots),
         uncertainty: random_uncertainty(engine, origin, index, now),
         hit,
-        assumed: copies.is_assumed(index),
+        assumed: reuse.uncertain,
         fetch,
         streams: engine.load.in_flight.as_ref().map_or(0, |_| load.running),
     }
--- a/core/src/route/mod.rs
+++ b/core/src/route/mod.rs
@@ -2,13 +2,17 @@
 
 mod choose;
 mod cost;
+mod held_copies;
 mod origin;
 mod pick;
 mod prefix_copies;
 mod prefix_home;
 mod request;
 
-pub use {choose::*, cost::*, origin::*, pick::*, prefix_copies::*, prefix_home::*, request::*};
+pub use {
+    choose::*, cost::*, held_copies::*, origin::*, pick::*, prefix_copies::*, prefix_home::*,
+    request::*,
+};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/route/prefix_copies.rs
+++ b/core/src/route/prefix_copies.rs
@@ -1,5 +1,5 @@
 use {
-    super::RoutingRequest,
+    super::{HeldCopies, RoutingRequest},
     crate::{
         clock::Time,
         fleet::{EngineView, PrefixLocations, PrefixProgress},
@@ -34,9 +34,16 @@
     /// Engine that should have a copy, though none is known there.
     assumed: Option<usize>,
     tokens: Tokens,
+    /// Engines that hold the prefix, if its reuse is weighed against the wait.
+    held: Option<HeldCopies>,
 }
 
 impl PrefixCopies {
+    /// Uses the engines that hold the prefix, whose reuse is weighed against the wait.
+    pub fn weighed(held: HeldCopies) -> Self {
+        Self { held: Some(held), ..Self::default() }
+    }
+
     /// Finds the copies of the shared prefix of `request`, the latest first.
     pub fn find(
         engines: &[EngineView],
@@ -65,6 +72,11 @@
         self
     }
 
+    /// Returns the engines that hold the prefix, if its reuse is weighed against the wait.
+    pub fn held(&self) -> Option<&HeldCopies> {
+        self.held.as_ref()
+    }
+
     /// Returns whether the copy on the engine at `index` is only assumed.
     pub fn is_assumed(&self, index: usize) -> bool {
         self.assumed == Some(index)
--- a/core/src/settings/hosted.rs
+++ b/core/src/settings/hosted.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ApiSettings, KeySettings},
+    super::{ApiSettings, KeySettings, PrefixRule},
     crate::{
         ids::{Millis, Region, Zone},
         manifest::Problem,
@@ -30,6 +30,9 @@
     /// Bounds on the validity of callers' keys.
     #[serde(default)]
     pub keys: Option<KeySettings>,
+    /// Services whose cached prefixes are weighed against the wait.
+    #[serde(default)]
+    pub prefixes: PrefixRule,
     /// Lease duration of this instance's presence record.
     #[serde(default = "default_presence_ttl")]
     pub presence: Millis,
--- a/core/src/settings/mod.rs
+++ b/core/src/settings/mod.rs
@@ -3,8 +3,9 @@
 mod api;
 mod hosted;
 mod instance;
+mod prefix_rule;
 
-pub use {api::*, hosted::*, instance::*};
+pub use {api::*, hosted::*, instance::*, prefix_rule::*};
 
 #[cfg(test)]
 mod tests;
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -1,16 +1,18 @@
 use {
     lentil_core::{
         clock::Time,
-        fleet::{EngineView, Registration, RunningMean, SoftwareHistory, TargetNotices},
+        fleet::{EngineView, KvCaches, Registration, RunningMean, SoftwareHistory, TargetNotices},
         ids::{
             EngineId, Incarnation, ModelId, ServiceId, SoftwareVersion, TargetId, TokenRate, Zone,
         },
         limit::Breaker,
         manifest::{Manifest, Role},
+        routes::ServiceConfig,
+        settings::PrefixRule,
     },
     smallvec::SmallVec,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -39,6 +41,8 @@
     notices: TargetNotices,
     pauses: HashMap<EngineId, Pause>,
     learned: HashMap<ModelId, LearnedRates>,
+    /// KV caches of the services whose cached prefixes are weighed against the wait.
+    caches: KvCaches,
 }
 
 /// Rates of a service's targets, learned from their answers.
@@ -115,7 +119,8 @@
         let settled =
             self.software.settles_at(&self.engines, &target.service, &target.software, now);
         let Some(engine) = self.engines.iter_mut().find(|e| e.id == target.id) else {
-            let mut engine = EngineView { settled, ..EngineView::from_registration(target) };
+            let kv = self.caches.of(&target.service);
+            let mut engine = EngineView { settled, kv, ..EngineView::from_registration(target) };
             learned.apply(&mut engine);
             self.notices
                 .of(&engine.id, engine.boot)
@@ -128,7 +133,8 @@
         let restarted = engine.boot != target.boot || software != Some(&target.software);
         if restarted || engine.address != target.address {
             self.software.record_gone(engine, now);
-            *engine = EngineView { settled, ..EngineView::from_registration(target) };
+            let kv = self.caches.of(&target.service);
+            *engine = EngineView { settled, kv, ..EngineView::from_registration(target) };
             learned.apply(engine);
             self.notices
                 .of(&engine.id, engine.boot)
@@ -207,6 +213,18 @@
         self.engines.iter_mut().filter(|e| e.model == *service).for_each(|e| rates.apply(e));
     }
 
+    /// Takes over the services of a configuration.
+    pub fn configure(&mut self, services: &BTreeMap<ServiceId, ServiceConfig>, rule: PrefixRule) {
+        self.caches.configure(services, rule);
+        self.apply_caches();
+    }
+
+    fn apply_caches(&mut self) {
+        for engine in self.engines.iter_mut().filter(|e| e.software.is_some()) {
+            engine.kv = self.caches.of(&engine.model);
+        }
+    }
+
     fn apply_targets(&mut self, manifest: &Manifest) {
         let mut known = std::mem::take(&mut self.targets);
         for (service, spec) in &manifest.services {
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -322,12 +322,17 @@
 
     /// Activates routes if they are newer than the current ones; returns whether they were.
     pub fn activate_routes(&self, table: RouteTable) -> bool {
-        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-        if routes.as_ref().is_some_and(|r| r.version >= table.version) {
-            return false;
+        let table = Arc::new(table);
+        {
+            let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+            if routes.as_ref().is_some_and(|r| r.version >= table.version) {
+                return false;
+            }
+            *routes = Some(table.clone());
         }
         self.metrics.revision.set(table.version.0 as i64);
-        *routes = Some(Arc::new(table));
+        let rule = self.settings.hosted.as_ref().map_or_else(Default::default, |h| h.prefixes);
+        self.fleet().configure(&table.services, rule);
         true
     }
 
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -16,6 +16,7 @@
     },
     lentil_core::{
         ids::{Millis, Revision},
+        manifest::Role,
         mesh::{CrashNote, Envelope, Heartbeat, Message, PullReply, Question, Reply, Update},
     },
     std::{net::SocketAddr, sync::Arc},
@@ -50,9 +51,15 @@
         }
         Message::PrefixLocations(notes) => {
             let now = app.now();
-            let mut cache = app.cache_index();
+            let (mut fleet, mut cache) = (app.fleet(), app.cache_index());
             for note in &notes {
                 cache.locations.record(note, now);
+                // Builds that weigh no prefixes send notes of short prefixes too, which mostly lie on
+                // decoding engines.
+                let engine = fleet.engine(&note.engine).filter(|e| e.role == Role::Prefill);
+                if let Some(engine) = engine {
+                    engine.record_prefix(note.prefix, note.progress, None, now);
+                }
             }
         }
         Message::Targets(batches) => {
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -1,5 +1,9 @@
 use {
-    super::{engine_choice::EngineChoice, task::Task},
+    super::{
+        engine_choice::EngineChoice,
+        prefix::{record_fetch, record_prefix},
+        task::Task,
+    },
     crate::ports::Target,
     lentil_core::{
         admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience},
@@ -10,7 +14,7 @@
         manifest::EngineSpec,
         plan,
         poison::{RunPermission, Subject},
-        route::{choose, shared_prefix, Pick, RoutingOrigin, RoutingRequest},
+        route::{choose, Pick, RoutingOrigin, RoutingRequest},
     },
 };
 
@@ -140,9 +144,11 @@
         let prefill_tokens = routing.prompt - pick.hit;
         let assumed = pick.assumed;
         let fetch_from = pick.fetch.map(|i| Target::from_view(&fleet.engines[i]));
-        if let Some(key) = shared_prefix(&routing).filter(|_| self.request.proxied.is_some()) {
-            let prefiller = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
-            cache.record_location(key, &prefiller.id, PrefixProgress::Prefilling, now);
+        if self.request.proxied.is_some() {
+            let id = fleet.engines[pick.prefill.unwrap_or(pick.decode)].id.clone();
+            let prefilling = PrefixProgress::Prefilling;
+            record_prefix(&mut fleet, &mut cache, &routing, &id, prefilling, now);
+            record_fetch(&mut fleet.engines, &routing, &pick, now);
         }
         let prefill = pick.prefill.map(|i| {
             let engine = &mut fleet.engines[i];
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -12,6 +12,7 @@
 mod permit;
 mod piece;
 mod prefill;
+mod prefix;
 mod proxied;
 mod relay;
 mod request;
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -1,8 +1,4 @@
-use {
-    super::task::Task,
-    crate::ports::Target,
-    lentil_core::{fleet::PrefixProgress, ids::RunId, route::shared_prefix},
-};
+use {super::task::Task, crate::ports::Target, lentil_core::ids::RunId};
 
 impl Task {
     /// Returns whether the first piece, or any later piece, took longer than its objective.
@@ -67,19 +63,6 @@
         );
     }
 
-    /// Records that an engine holds the KV cache of the request's shared prefix.
-    pub(super) fn record_prefix_ready(&self, target: &Target) {
-        let routing = &self.request.routing;
-        if let Some(key) = shared_prefix(routing).filter(|_| self.request.proxied.is_some()) {
-            self.app.cache_index().record_location(
-                key,
-                &target.id,
-                PrefixProgress::Ready,
-                self.app.now(),
-            );
-        }
-    }
-
     /// Logs and counts a proxied request whose answer was forwarded completely.
     pub(super) fn finish_proxied(&self) {
         let request = &self.request;
