--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -3,7 +3,10 @@
 mod availability;
 mod cache;
 mod engine;
+mod held_prefixes;
 mod in_flight;
+mod kv_cache;
+mod kv_caches;
 mod load;
 mod missing_targets;
 mod prefix;
@@ -15,9 +18,9 @@
 mod target_notices;
 
 pub use {
-    availability::*, cache::*, engine::*, in_flight::*, load::*, missing_targets::*, prefix::*,
-    prefix_locations::*, queued_tokens::*, registration::*, running_mean::*, software_history::*,
-    target_notices::*,
+    availability::*, cache::*, engine::*, held_prefixes::*, in_flight::*, kv_cache::*,
+    kv_caches::*, load::*, missing_targets::*, prefix::*, prefix_locations::*, queued_tokens::*,
+    registration::*, running_mean::*, software_history::*, target_notices::*,
 };
 
 #[cfg(test)]
