--- a/core/benches/choose.rs
+++ b/core/benches/choose.rs
@@ -32,6 +32,8 @@
         slots: 12,
         software: "v1".parse().unwrap(),
         leaving: false,
+        spot: None,
+        leaves: None,
         weights: None,
     })
 }
--- a/core/tests/held_prefixes.rs
+++ b/core/tests/held_prefixes.rs
@@ -126,6 +126,8 @@
                 slots: 48,
                 software: "v1".parse().unwrap(),
                 leaving: false,
+                spot: None,
+                leaves: None,
                 weights: None,
             });
             engine.rates.prefill = TokenRate(self.tokens_per_s);
--- a/core/tests/recorded/values.rs
+++ b/core/tests/recorded/values.rs
@@ -140,6 +140,8 @@
         slots: 48,
         software: name("2026.1-rc3"),
         leaving: full,
+        spot: None,
+        leaves: None,
         weights: full.then_some(12),
     }
 }
