--- a/node/src/usage/counts.rs
+++ b/node/src/usage/counts.rs
@@ -1,12 +1,12 @@
 use {
-    super::Usage,
+    super::{duty::CANDIDATES, Usage},
     crate::{
         app::{App, CellHolder},
         mesh::send_usage,
     },
     lentil_core::{
         clock::Time,
-        ids::{CellId, Fence},
+        ids::{Fence, Millis},
         order::Holder,
         usage::{UnixTime, UsageMessage, WindowId},
     },
@@ -27,12 +27,46 @@
 /// Longest delay of the counts that a new holder gets, so that they do not all arrive at once.
 const NEW_HOLDER_DELAY: Duration = Duration::from_millis(500);
 
-/// Sends this instance's new counts to the holder of the duty, if another instance is.
+/// Sends this instance's new counts to the holder of the duty. The holder sends its own ones to the
+/// candidates, so that they are not lost with it.
 pub async fn send_counts(app: &App) {
-    let Some((cell, messages)) = next_messages(app) else { return };
+    let now = app.now();
+    let wall = app.clock.unix_time();
+    let open = app.member_view().fleet_size(now).is_none_or(|size| size <= MAX_CONTINUOUS);
+    let Some(cell) = app.usage().map(|u| u.cell.clone()) else { return };
     let holder = app.holders().holder(&cell).cloned();
-    let Some(holder) = holder.filter(|h| h.holder != app.identity) else { return };
-    let sent = send_usage(app, holder.address, &holder.holder.instance, messages).await;
+    let windows = {
+        let Some(mut usage) = app.usage() else { return };
+        check_wall_clock(app, &mut usage, wall, now);
+        let time = usage.time.at(now);
+        usage.remove_old(time);
+        let Some(holder) = &holder else { return };
+        if usage.served.is_none_or(|f| f < holder.fence) {
+            usage.serve_holder(holder.fence, WindowId(0));
+        }
+        let windows = usage.counter.take_changes(time, open);
+        let due = usage.sent.is_none_or(|t| now - t >= TIME_INTERVAL);
+        if windows.is_empty() && !due {
+            return;
+        }
+        usage.sent = Some(now);
+        windows
+    };
+    let Some(holder) = holder else { return };
+    let receivers = match holder.holder == app.identity {
+        false => vec![(holder.holder.instance, holder.address)],
+        true => {
+            let candidates = app.member_view().first_by_hash(cell.as_str(), CANDIDATES);
+            candidates.into_iter().map(|m| (m.id, m.address)).collect()
+        }
+    };
+    let mut sent = true;
+    for (id, address) in receivers {
+        let Some(time) = app.usage().map(|u| u.time.at(app.now())) else { return };
+        let names = [&app.identity.instance, &id];
+        let messages = UsageMessage::messages(time, windows.clone(), names);
+        sent &= send_usage(app, address, &id, messages).await;
+    }
     if let Some(mut usage) = app.usage().filter(|_| !sent) {
         let from = usage.time.at(app.now()).earlier(RESEND_AGE);
         let from = usage.timing.length.window_at(from);
@@ -40,38 +74,15 @@
     }
 }
 
-/// Returns the messages to be sent now, with the cell whose holder gets them.
-fn next_messages(app: &App) -> Option<(CellId, Vec<UsageMessage>)> {
-    let now = app.now();
-    let wall = app.clock.unix_time();
-    let open = app.member_view().fleet_size(now).is_none_or(|size| size <= MAX_CONTINUOUS);
-    let cell = app.usage()?.cell.clone();
-    let holder = app.holders().holder(&cell).map(|h| (h.holder.clone(), h.fence));
-    let mut usage = app.usage()?;
+/// Follows the wall clock, and logs when it begins to be wrong.
+fn check_wall_clock(app: &App, usage: &mut Usage, wall: Millis, now: Time) {
     let wrong = usage.time.follow(wall, now);
-    let time = usage.time.at(now);
     if wrong && !usage.wall_wrong {
-        let ahead = UnixTime(wall.0).millis_since(time);
+        let ahead = UnixTime(wall.0).millis_since(usage.time.at(now));
         log::warn!("usage: the wall clock is wrong ahead_ms={ahead}");
         app.metrics.wrong_clocks.with_label_values(&["wall"]).inc();
     }
     usage.wall_wrong = wrong;
-    usage.remove_old(time);
-    let (holder, fence) = holder?;
-    if holder == app.identity {
-        return None;
-    }
-    if usage.served.is_none_or(|f| f < fence) {
-        usage.serve_holder(fence, WindowId(0));
-    }
-    let windows = usage.counter.take_changes(time, open);
-    let due = usage.sent.is_none_or(|t| now - t >= TIME_INTERVAL);
-    if windows.is_empty() && !due {
-        return None;
-    }
-    usage.sent = Some(now);
-    let names = [&app.identity.instance, &holder.instance];
-    Some((cell, UsageMessage::messages(time, windows, names)))
 }
 
 /// Handles a message of another instance.
