Role changes of engines that leave: only after a lasting shortage; orders leave room for reports

Cause: a removal waits until no role is short of engines, and a role change waited until no engine of a group with too many was left, so that both could wait for each other.

Change: an engine that is ordered away never changes its role; one that is expected to leave in the end changes it only if a role has been short for 10 s. A change for the ordered numbers counts for the delay of changes in the opposite direction. Orders take at most half of the calls a second that the API accepts.

--- a/core/src/plan/mod.rs
+++ b/core/src/plan/mod.rs
@@ -10,12 +10,22 @@
 mod scaler;
 mod scaling_counts;
 mod scaling_group;
+mod scaling_input;
 mod scaling_layout;
 mod scaling_load;
 
 pub use {
-    capacity::*, demand::*, demand_meter::*, planner::*, request::*, role_balancer::*, scaler::*,
-    scaling_counts::*, scaling_layout::layout, scaling_load::*,
+    capacity::*,
+    demand::*,
+    demand_meter::*,
+    planner::*,
+    request::*,
+    role_balancer::*,
+    scaler::*,
+    scaling_counts::*,
+    scaling_input::{serving, Removal, ScalingInput},
+    scaling_layout::layout,
+    scaling_load::*,
 };
 
 #[cfg(test)]
--- a/core/src/plan/role_balancer.rs
+++ b/core/src/plan/role_balancer.rs
@@ -137,6 +137,17 @@
         Some(role)
     }
 
+    /// Returns whether an engine may change to `role` now: the last change in the opposite direction is
+    /// long enough ago.
+    pub fn allows(&self, role: Role, now: Time) -> bool {
+        self.change_allowed(role, now)
+    }
+
+    /// Records a change that was decided elsewhere.
+    pub fn record_change(&mut self, role: Role, now: Time) {
+        self.last_change = Some((role, now));
+    }
+
     /// Returns the role for which another engine is worthwhile.
     fn role_to_extend(&self, split: Split) -> Option<Role> {
         let busier = self.mean.max_role();
--- a/core/src/plan/scaler.rs
+++ b/core/src/plan/scaler.rs
@@ -1,11 +1,12 @@
 use {
     super::{
         scaling_group::Group,
+        scaling_input::Need,
         scaling_layout::{missing_targets, ordinary_surplus},
-        total_count, LoadMeter, PerRole, PriceKind, ScaledTarget, ScalingGroup, ScalingOrder,
-        ScalingOutcome, ScalingReason, ZoneCounts,
+        serving, total_count, LoadMeter, PerRole, PriceKind, Removal, ScalingGroup, ScalingInput,
+        ScalingOrder, ScalingOutcome, ScalingReason, ZoneCounts,
     },
-    crate::{clock::Time, ids::Zone, manifest::Role, routes::ScalingConfig},
+    crate::{clock::Time, ids::Zone, manifest::Role},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -28,40 +29,12 @@
 const MIN_PER_ROLE: u32 = 2;
 /// Fewest ordinary targets that it is worth replacing by spot targets.
 const MIN_REPLACED: u32 = 2;
+/// Time for which a role must be short of engines before one that is expected to leave changes its
+/// role: new targets boot within it.
+const SHORT_ROLE_WAIT: Duration = Duration::from_secs(10);
 /// Kinds of targets.
 const KINDS: [PriceKind; 2] = [PriceKind::Ordinary, PriceKind::Spot];
 
-/// State of a service's targets on which the scaler decides.
-#[derive(Debug, Clone, Copy)]
-pub struct ScalingInput<'a> {
-    /// Bounds and prices, with the zones in which targets are ordered.
-    pub config: &'a ScalingConfig,
-    /// Registered targets that are not leaving.
-    pub targets: &'a [ScaledTarget<'a>],
-    /// Whether the targets are engines, some of which prefill.
-    pub engines: bool,
-    /// Number of targets that the present work keeps busy.
-    pub busy: PerRole<f64>,
-    /// Number of prefilling engines whose memory holds the shared prefixes in use.
-    pub caching: u32,
-    /// Whether orders may be given now: the directory is known, and no earlier holder's call can be
-    /// in flight.
-    pub may_order: bool,
-    /// Whether targets may be removed: most of the instances, and with them their work, are known.
-    pub may_remove: bool,
-}
-
-/// Number of targets needed, by role.
-#[derive(Debug, Clone, Copy, Default)]
-struct Need {
-    /// For the present demand with bursts.
-    now: PerRole<u32>,
-    /// The largest of the last seconds.
-    held: PerRole<u32>,
-    /// Without any burst.
-    least: PerRole<u32>,
-}
-
 /// Decides how many targets of which kind each zone of a service has, one order at a time.
 ///
 /// Targets are added at once when those at hand are too few for the demand. Spot targets replace
@@ -77,6 +50,8 @@
     need: Need,
     /// Prefilling engines when the scaler began: engines that only cache are not added to them.
     first_prefill: Option<u32>,
+    /// Since when a role has fewer targets than needed.
+    short_since: Option<Time>,
     last_order: Option<Time>,
     last_removal: Option<Time>,
 }
@@ -92,6 +67,7 @@
             layout: ZoneCounts::new(),
             need: Need::default(),
             first_prefill: None,
+            short_since: None,
             last_order: None,
             last_removal: None,
         }
@@ -119,6 +95,7 @@
         self.observe(input, now);
         self.need = self.measure_need(input, serving);
         self.layout = self.plan_layout(input, now);
+        self.short_since = self.is_short(serving).then(|| self.short_since.unwrap_or(now));
         if self.last_order.is_some_and(|t| now - t < ORDER_INTERVAL) {
             return None;
         }
@@ -162,12 +139,33 @@
         }
     }
 
-    /// Returns whether a target of this group may be about to be removed: the platform chooses which
-    /// ones of a group leave.
-    pub fn may_be_removed(&self, zone: &Zone, kind: PriceKind) -> bool {
+    /// Returns whether targets of this group are about to be removed: the platform chooses which ones
+    /// of a group leave.
+    pub fn pending_removal(&self, zone: &Zone, kind: PriceKind) -> Removal {
         let of = |counts: &ZoneCounts| counts.get(zone).map_or(0, |c| c.of(kind));
-        let registered = self.groups.get(&(zone.clone(), kind)).map_or(0, |group| group.registered);
-        !self.layout.is_empty() && registered > of(&self.counts).min(of(&self.layout))
+        let registered = self.groups.get(&(zone.clone(), kind)).map_or(0, |g| g.registered);
+        match registered {
+            _ if self.layout.is_empty() => Removal::None,
+            n if n > of(&self.counts) => Removal::Ordered,
+            n if n > of(&self.layout) => Removal::Expected,
+            _ => Removal::None,
+        }
+    }
+
+    /// Returns whether a role change of a target with this pending removal is worthwhile: one that is
+    /// only expected to leave in the end may change if a role has been short for so long that no
+    /// other target seems to be there for it.
+    pub fn allows_change(&self, removal: Removal, now: Time) -> bool {
+        match removal {
+            Removal::None => true,
+            Removal::Expected => self.short_since.is_some_and(|t| now - t >= SHORT_ROLE_WAIT),
+            Removal::Ordered => false,
+        }
+    }
+
+    fn is_short(&self, serving: PerRole<u32>) -> bool {
+        let need = self.need.held;
+        serving.prefill < need.prefill || serving.decode < need.decode
     }
 
     fn group(&mut self, key: &ScalingGroup) -> &mut Group {
@@ -315,8 +313,7 @@
         });
         let fast = self.meter.fast();
         let used = fast.zip(serving, |busy, n| busy / f64::from(n.max(1)));
-        let short =
-            serving.prefill < self.need.held.prefill || serving.decode < self.need.held.decode;
+        let short = self.is_short(serving);
         let early = !input.may_remove || !self.meter.period_seen(now);
         if early
             || recent
@@ -367,10 +364,3 @@
         Some(ScalingOrder { zone: zone.clone(), kind, from, to, why: ScalingReason::Surplus })
     }
 }
-
-/// Returns the number of targets that accept requests, by role.
-pub fn serving(input: &ScalingInput) -> PerRole<u32> {
-    let of =
-        |role: Role| input.targets.iter().filter(|t| t.serving && t.role == role).count() as u32;
-    PerRole { prefill: of(Role::Prefill), decode: of(Role::Decode) }
-}
--- a/core/tests/scaling.rs
+++ b/core/tests/scaling.rs
@@ -257,6 +257,19 @@
     assert_eq!(platform.overloaded, 0);
 }
 
+/// Guards against a removal that waits for a role change, which waits for the removal.
+#[test]
+fn scaler_ends_a_shortage_of_a_role_although_all_targets_may_be_removed() {
+    let mut platform = Platform::start(19);
+    platform.config.spot = None;
+    platform.set_roles(6);
+    platform.run(90.0, wave(4.0, 4.0));
+    let (need, split) = (platform.scaler.needed(), platform.split());
+    assert!(split.prefill >= need.prefill && split.decode >= need.decode, "{split:?} {need:?}");
+    assert!(platform.targets.len() <= 35, "{}", platform.targets.len());
+    assert_eq!(platform.overloaded, 0);
+}
+
 #[test]
 fn scaler_keeps_the_split_of_roles() {
     let mut platform = Platform::start(19);
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -41,7 +41,15 @@
         let balancer = self.balancer.get_or_insert_with(|| RoleBalancer::new(now));
         let balanced = balancer.decide(utilization, split, self.changes.len(), now);
         let mean = balancer.mean();
-        let role = balanced.or_else(|| self.role_short_for_scaling(&serving, now))?;
+        let role = match balanced {
+            Some(role) => role,
+            None => {
+                let short = self.role_short_for_scaling(&serving)?;
+                let balancer = self.balancer.as_mut().filter(|b| b.allows(short, now))?;
+                balancer.record_change(short, now);
+                short
+            }
+        };
         let eligible = |e: &&&EngineView| {
             let last = role == Role::Prefill && is_last_decoding(&serving, e);
             e.role != role && !last && !e.is_held(now) && !self.unsettled.contains(&e.id)
@@ -50,7 +58,8 @@
         let key = |e: &&&EngineView| (!e.breaker.allows(now), expected_load(e, now));
         // A service that hardly decodes needs an engine whichever it is.
         let urgent = role == Role::Decode && split.decode < MIN_DECODING;
-        let stays = |e: &&&EngineView| urgent || !self.may_be_removed(e);
+        let stays = |e: &&&EngineView| urgent || self.may_change(e, now);
+        let key = |e: &&&EngineView| (self.pending_removal(e), key(e));
         let engine = serving.iter().filter(eligible).filter(stays).min_by_key(key)?;
         log::info!(
             "control: cell={} engine={} to={role} prefilling={} decoding={} prefill_use={:.2} decode_use={:.2}",
--- a/node/src/control/scaling.rs
+++ b/node/src/control/scaling.rs
@@ -15,7 +15,7 @@
         ids::{CellId, EngineId, Revision, ServiceId, WriterToken, Zone},
         manifest::Role,
         plan::{
-            serving, PerRole, PriceKind, ScaledTarget, Scaler, ScalingInput, ScalingOrder,
+            serving, PerRole, PriceKind, Removal, ScaledTarget, Scaler, ScalingInput, ScalingOrder,
             ScalingOutcome, ZoneCounts,
         },
         routes::{ScalingConfig, ServiceConfig},
@@ -55,6 +55,8 @@
     revision: Option<Revision>,
     /// The call to the platform's API that is in flight.
     call: Option<(ScalingOrder, JoinHandle<Result<(), ApiError>>)>,
+    /// When a call was last made.
+    last_call: Option<Time>,
     /// When a full read of the directory was last requested.
     kinds_wanted: Option<Time>,
 }
@@ -94,8 +96,7 @@
                 None => Scaler::new(stored.clone(), now),
             };
             let revision = Some(revision);
-            self.scaling =
-                Some(Scaling { scaler, stored, revision, call: None, kinds_wanted: None });
+            self.scaling = Some(Scaling::new(scaler, stored, revision));
         }
         let waited = now - self.acquired >= handover_time(app);
         let Some(scaling) = &mut self.scaling else { return Ok(()) };
@@ -109,13 +110,14 @@
             engines: view.engines,
             busy: view.busy,
             caching: view.caching,
-            may_order: waited && view.known && scaling.call.is_none(),
+            may_order: waited && view.known && scaling.call.is_none() && !scaling.paced(app, now),
             may_remove: view.known_share >= MIN_KNOWN_SHARE,
         };
         let order = scaling.scaler.decide(&input, now);
         scaling.record_metrics(app, &service, &targets);
         let Some(order) = order else { return Ok(()) };
         scaling.scaler.begin(&order, now);
+        scaling.last_call = Some(now);
         log::info!(
             "scale: service={service} zone={} kind={} from={} to={} why={} serving={:?} needed={:?}",
             order.zone,
@@ -138,31 +140,47 @@
     }
 
     /// Returns the role that the engines are short of for the ordered numbers, if any.
-    pub(super) fn role_short_for_scaling(
-        &self,
-        engines: &[&EngineView],
-        now: Time,
-    ) -> Option<Role> {
+    pub(super) fn role_short_for_scaling(&self, engines: &[&EngineView]) -> Option<Role> {
         let scaling = self.scaling.as_ref()?;
         let most = ((engines.len() as f64 * MAX_CHANGING_SHARE) as usize).max(1);
         let count = |role: Role| {
             let changing = self.changes.iter().filter(|c| c.target_role() == Some(role)).count();
-            let serving = engines.iter().filter(|e| e.role == role && e.accepts_work(now)).count();
-            (changing + serving) as u32
+            let others = engines.iter().filter(|e| e.role == role).count();
+            (changing + others) as u32
         };
         let split = PerRole { prefill: count(Role::Prefill), decode: count(Role::Decode) };
         scaling.scaler.short_role(split).filter(|_| self.changes.len() < most)
     }
 
-    /// Returns whether an engine may be about to be removed, so that a change of its role would be
-    /// in vain.
-    pub(super) fn may_be_removed(&self, engine: &EngineView) -> bool {
+    /// Returns whether an engine may change its role: a change would be in vain if the engine is about
+    /// to be removed.
+    pub(super) fn may_change(&self, engine: &EngineView, now: Time) -> bool {
+        let removal = self.pending_removal(engine);
+        self.scaling.as_ref().is_none_or(|s| s.scaler.allows_change(removal, now))
+    }
+
+    /// Returns whether an engine is about to be removed.
+    pub(super) fn pending_removal(&self, engine: &EngineView) -> Removal {
         let kind = kind_of(engine);
-        self.scaling.as_ref().is_some_and(|s| s.scaler.may_be_removed(&engine.zone, kind))
+        self.scaling
+            .as_ref()
+            .map_or(Removal::None, |s| s.scaler.pending_removal(&engine.zone, kind))
     }
 }
 
 impl Scaling {
+    fn new(scaler: Scaler, stored: ZoneCounts, revision: Option<Revision>) -> Self {
+        Self { scaler, stored, revision, call: None, last_call: None, kinds_wanted: None }
+    }
+
+    /// Returns whether a call has to wait so that orders take at most half of the calls that the
+    /// API accepts; the other half is left to reports.
+    fn paced(&self, app: &App, now: Time) -> bool {
+        let api = app.settings.hosted.as_ref().and_then(|h| h.api.as_ref());
+        let interval = api.map_or(Duration::ZERO, |a| Duration::from_secs_f64(2.0 / a.rate));
+        self.last_call.is_some_and(|t| now - t < interval)
+    }
+
     /// Records the result of the call that was in flight, if it has ended.
     async fn finish_call(&mut self, app: &App, service: &ServiceId, now: Time) {
         let Some((order, task)) = self.call.take_if(|(_, task)| task.is_finished()) else { return };
