Refused frames by version, lentilctl instances, soak with two builds

An operator could not see which build an instance runs, nor why and from whom frames are refused; and no test ran two builds side by side.

lentil_mesh_refused_total has the label version, and a refused datagram is logged once for each peer, incarnation and reason. lentilctl instances shows the build and the announced versions of each instance, from /status. The soak takes a second program (LENTIL_OTHER=PATH): instances are replaced by the build under test one after the other, and back, with faults in between.

The soak has not run yet.

--- a/ctl/src/args/mod.rs
+++ b/ctl/src/args/mod.rs
@@ -32,6 +32,8 @@
     History(History),
     /// Shows the state of instances.
     Status(Status),
+    /// Shows the builds of all instances.
+    Instances(Instances),
     /// Explains one request from the logs.
     Explain(Explain),
     /// Reports how far the objectives were met.
@@ -127,6 +129,16 @@
     pub store: SocketAddr,
 }
 
+/// show the build of each instance and the versions of the protocol between instances that it
+/// announced
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "instances")]
+pub struct Instances {
+    /// address of an instance that answers /status; may be repeated, the first that answers is used
+    #[argh(option)]
+    pub instance: Vec<SocketAddr>,
+}
+
 /// show the state of instances, their members and their engines
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -27,6 +27,7 @@
         Command::Explain(args) => queries::explain(&args),
         Command::Burn(args) => queries::burn(&args),
         Command::Status(args) => queries::status(&args).await,
+        Command::Instances(args) => queries::instances(&args).await,
         Command::Apply(args) => commands::apply(&args).await,
     }
 }
--- a/ctl/src/queries/instances.rs
+++ b/ctl/src/queries/instances.rs
@@ -1,7 +1,8 @@
 use {
-    crate::args::Status,
-    anyhow::{bail, Context, Result},
+    crate::args::{Instances, Status},
+    anyhow::{anyhow, bail, Context, Result},
     hyper::Method,
+    lentil_core::mesh::VersionRange,
     lentil_node::{
         http::{call, request},
         queries,
@@ -41,6 +42,42 @@
     Ok(0)
 }
 
+/// Prints the build of each instance that the first responding one knows of.
+///
+/// # Errors
+/// If no instance is given, or none responds.
+pub async fn instances(args: &Instances) -> Result<i32> {
+    let mut failure = None;
+    for at in &args.instance {
+        match fetch::<queries::Status>(*at, "/status").await {
+            Ok(status) if status.builds.is_empty() => {
+                failure = Some(anyhow!("instance {at} runs a build that does not list builds"));
+            }
+            Ok(status) => {
+                status.builds.iter().for_each(|build| println!("{}", build_line(build)));
+                return Ok(0);
+            }
+            Err(error) => failure = Some(error.context(format!("instance {at}"))),
+        }
+    }
+    Err(failure.unwrap_or_else(|| anyhow!("give at least one --instance")))
+}
+
+/// Returns the line about the build of one instance. A build that has announced nothing understands
+/// version 1 only.
+pub fn build_line(build: &queries::BuildStatus) -> String {
+    let state = build.state.map_or_else(|| "listed".into(), |s| format!("{s:?}").to_lowercase());
+    let name = build.build.as_deref().unwrap_or("unknown");
+    let (versions, note) = match build.versions {
+        Some(versions) => (versions, ""),
+        None => (VersionRange::UNANNOUNCED, " (not announced)"),
+    };
+    format!(
+        "instance {}: {state}, build {name}, protocol versions {versions}{note}",
+        build.instance
+    )
+}
+
 fn print_status(status: &queries::Status) {
     let ready = if status.ready { "ready" } else { "not ready" };
     println!("instance {}: {ready}, manifest revision {}", status.instance, status.revision);
--- a/daemon/tests/extensions.rs
+++ b/daemon/tests/extensions.rs
@@ -9,6 +9,7 @@
     lentil_node::{
         app::App,
         mesh::{broadcast_extension, send_extension},
+        queries::status,
     },
 };
 
@@ -54,6 +55,12 @@
     a.peer_versions.record(id, announced);
     assert!(!send_extension(a, address, id, pace()).await);
     assert_eq!(extensions(a, "omitted"), 2.0);
+    let builds = status(a).builds;
+    assert_eq!(builds.len(), 2);
+    let own = builds.iter().find(|build| build.instance == a.identity.instance).unwrap();
+    assert_eq!(own.versions, Some(VersionRange::OWN));
+    let other = builds.iter().find(|build| build.instance == *id).unwrap();
+    assert_eq!((&other.build, other.versions), (&None, Some(VersionRange::UNANNOUNCED)));
     let unknown = "someone-else".parse().unwrap();
     assert!(!send_extension(a, address, &unknown, pace()).await);
 }
--- a/daemon/tests/fault_injection/fault_plan.rs
+++ b/daemon/tests/fault_injection/fault_plan.rs
@@ -1,5 +1,5 @@
 use {
-    super::fleet::{Fleet, Instance},
+    super::fleet::{Fleet, Instance, Program},
     crate::platform::{Behavior, Mode},
     nix::sys::signal::Signal,
     rand::{rngs::StdRng, Rng, SeedableRng},
@@ -44,6 +44,8 @@
     Kill(usize),
     /// Sends SIGHUP to an instance.
     Reload(usize),
+    /// Replaces an instance by one of another build.
+    Replace(usize, Program),
 }
 
 /// Sequence of faults, the same for each run of a seed.
@@ -71,12 +73,26 @@
         Self { faults }
     }
 
+    /// Adds the replacement of all instances by the build under test, one after the other, and their
+    /// replacement by the other build again, spread evenly over `length`.
+    #[must_use]
+    pub fn with_replacements(mut self, instances: usize, length: Duration) -> Self {
+        let rounds = [Program::Own, Program::Other];
+        let all = rounds.iter().flat_map(|program| (0..instances).map(move |i| (i, *program)));
+        let step = length / (2 * instances) as u32;
+        for (n, (i, program)) in (0..).zip(all) {
+            self.faults.push((step * n, Duration::ZERO, Fault::Replace(i, program)));
+        }
+        self.faults.sort_by_key(|(at, ..)| *at);
+        self
+    }
+
     /// Returns whether instances forget what a target said of itself, or the link to it is harmed, so
     /// that it may get requests later than it should.
     pub fn disturbs(&self, target: usize) -> bool {
-        use Fault::{CutOff, Kill, Pause, TargetLink, Terminate};
+        use Fault::{CutOff, Kill, Pause, Replace, TargetLink, Terminate};
         self.faults.iter().any(|(_, _, fault)| match fault {
-            Kill(_) | Pause(_) | Terminate(_) => true,
+            Kill(_) | Pause(_) | Replace(..) | Terminate(_) => true,
             TargetLink(i, _) => *i == target,
             CutOff { .. } => true,
             _ => false,
@@ -192,6 +208,7 @@
         Fault::Terminate(i) => fleet.instances[*i].restart(Signal::SIGTERM).await,
         Fault::Kill(i) => fleet.instances[*i].restart(Signal::SIGKILL).await,
         Fault::Reload(i) => fleet.instances[*i].signal(Signal::SIGHUP),
+        Fault::Replace(i, program) => fleet.instances[*i].replace(*program).await,
     }
 }
 
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -28,9 +28,33 @@
     view: View,
     settings: PathBuf,
     log: PathBuf,
+    program: Program,
     child: Option<Child>,
 }
 
+/// The program that an instance runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Program {
+    /// The build under test.
+    Own,
+    /// The program at `LENTIL_OTHER`.
+    Other,
+}
+
+impl Program {
+    fn path(self) -> PathBuf {
+        match self {
+            Self::Own => PathBuf::from(env!("CARGO_BIN_EXE_lentilgrade")),
+            Self::Other => other_program().expect("LENTIL_OTHER is set"),
+        }
+    }
+}
+
+/// The program with which instances of the build under test run side by side, if there is one.
+pub fn other_program() -> Option<PathBuf> {
+    std::env::var_os("LENTIL_OTHER").map(PathBuf::from)
+}
+
 /// Instances and the fakes around them.
 pub struct Fleet {
     pub store: Store,
@@ -57,7 +81,7 @@
 impl Instance {
     fn spawn(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_lentilgrade"));
+        let mut command = Command::new(self.program.path());
         command.arg("--settings").arg(&self.settings).stdout(log);
         self.child = Some(command.spawn().unwrap());
     }
@@ -87,6 +111,12 @@
         self.spawn();
     }
 
+    /// Replaces the process by one of another program, as an upgrade does.
+    pub async fn replace(&mut self, program: Program) {
+        self.program = program;
+        self.restart(Signal::SIGTERM).await;
+    }
+
     /// Cuts the instance off from all targets. With `reset` its open connections end.
     pub fn cut_off(&self, mode: Mode, reset: bool) {
         for link in &self.target_links {
@@ -166,6 +196,7 @@
         let file = self.folder.join(format!("e-{i}.json"));
         fs::write(&file, settings.to_string()).unwrap();
         let log = self.folder.join(format!("e-{i}.log"));
+        let program = other_program().map_or(Program::Own, |_| Program::Other);
         let mut instance = Instance {
             front,
             probe,
@@ -174,6 +205,7 @@
             view,
             settings: file,
             log,
+            program,
             child: None,
         };
         instance.spawn();
--- a/daemon/tests/soak.rs
+++ b/daemon/tests/soak.rs
@@ -2,6 +2,9 @@
 //! The guarantees to callers are checked against what callers received and what targets ran.
 //!
 //! `LENTIL_SOAK=FIRST..LAST cargo test --release -p lentilgrade --test soak` runs the seeds of that range.
+//!
+//! With `LENTIL_OTHER=PATH` all instances run the program at that path at first. They are replaced by
+//! the build under test one after the other, and back, while faults are injected.
 
 #[path = "../../platform/tests/common/mod.rs"]
 mod platform;
@@ -9,7 +12,12 @@
 mod fault_injection;
 
 use {
-    fault_injection::{callers::Callers, check, fault_plan::FaultPlan, fleet::Fleet},
+    fault_injection::{
+        callers::Callers,
+        check,
+        fault_plan::FaultPlan,
+        fleet::{other_program, Fleet},
+    },
     std::time::{Duration, Instant},
     tokio::time::sleep,
 };
@@ -30,6 +38,9 @@
 const LIMITS: [f64; 3] = [2.5, 8.0, 20.0];
 /// Time during which faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
+/// Time during which faults are injected and instances are replaced by another build. A replaced
+/// instance drains for 2 s and is ready a second after its start.
+const REPLACE_PERIOD: Duration = Duration::from_secs(27);
 /// Time after the last fault until requests must be served again.
 const RECOVERY: Duration = Duration::from_secs(6);
 
@@ -60,7 +71,12 @@
     fleet.targets[1].announce_limit(Some(&limit.to_string()));
     let announced = Instant::now();
     sleep(Duration::from_millis(500)).await;
-    let plan = FaultPlan::new(seed, FAULT_PERIOD);
+    let plan = match other_program() {
+        None => FaultPlan::new(seed, FAULT_PERIOD),
+        Some(_) => {
+            FaultPlan::new(seed, REPLACE_PERIOD).with_replacements(INSTANCES, REPLACE_PERIOD)
+        }
+    };
     let faults = plan.run(&mut fleet).await;
     fleet.end_faults().await;
     sleep(RECOVERY).await;
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -15,7 +15,7 @@
     crate::{
         claims::ClaimStore,
         control::CellLeases,
-        mesh::{FrameCodec, PeerVersions, Questions},
+        mesh::{FrameCodec, PeerVersions, Questions, Refusals},
         metrics::Metrics,
         ports::{ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore},
         reach::ReachChecks,
@@ -93,6 +93,8 @@
     pub claims: ClaimStore,
     /// Authenticates frames sent to and received from other instances.
     pub frame_codec: FrameCodec,
+    /// Refused datagrams that were logged.
+    pub refusals: Refusals,
     /// Builds and protocol versions that other instances announced.
     pub peer_versions: PeerVersions,
     /// Questions to other instances that wait for an answer.
@@ -174,6 +176,7 @@
             phase: watch::Sender::new(Phase::Serving),
             relayed_targets: watch::Sender::default(),
             frame_codec: FrameCodec::default(),
+            refusals: Refusals::default(),
             peer_versions: PeerVersions::default(),
             socket: OnceLock::new(),
             cell_leases: CellLeases::default(),
--- a/node/src/mesh/frame_codec.rs
+++ b/node/src/mesh/frame_codec.rs
@@ -1,4 +1,5 @@
 use {
+    super::refusals::version_label,
     crate::app::App,
     lentil_core::{
         ids::InstanceId,
@@ -91,7 +92,7 @@
         }
         let checked = self.check_extensions(app, bytes);
         if let Err(error) = &checked {
-            app.metrics.refused_frames.with_label_values(&[error.label()]).inc();
+            app.metrics.count_refused_frame(error.label(), version_label(bytes));
         }
         checked.map(Received::Extensions)
     }
@@ -104,7 +105,7 @@
     pub fn open(&self, app: &App, bytes: &[u8], limit: usize) -> Result<Envelope, FrameError> {
         let checked = self.check(app, bytes, limit);
         if let Err(error) = &checked {
-            app.metrics.refused_frames.with_label_values(&[error.label()]).inc();
+            app.metrics.count_refused_frame(error.label(), version_label(bytes));
         }
         checked
     }
--- a/node/src/mesh/listen.rs
+++ b/node/src/mesh/listen.rs
@@ -28,7 +28,10 @@
         match app.frame_codec.open_datagram(&app, &buffer[..length]) {
             Ok(Received::Message(envelope)) => handlers::datagram(&app, address, envelope).await,
             Ok(Received::Extensions(envelope)) => extensions::handle(&app, address, envelope),
-            Err(error) => log::debug!("mesh: datagram from {address} refused: {error}"),
+            Err(error) => {
+                log::debug!("mesh: datagram from {address} refused: {error}");
+                app.refusals.log(&app, address, &buffer[..length], error);
+            }
         }
     }
 }
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod listen;
 mod peer_versions;
+mod refusals;
 mod request;
 mod send;
 mod streams;
@@ -30,6 +31,7 @@
     limits::{announce_limits, request_permit},
     listen::{listen_datagrams, listen_requests},
     peer_versions::PeerVersions,
+    refusals::Refusals,
     request::{request, RequestError},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
 };
--- a/node/src/mesh/peer_versions.rs
+++ b/node/src/mesh/peer_versions.rs
@@ -54,6 +54,11 @@
         self.peers().get(id).cloned()
     }
 
+    /// Returns all announcements, in no particular order.
+    pub fn all(&self) -> Vec<(InstanceId, Announcement)> {
+        self.peers().iter().map(|(id, a)| (id.clone(), a.clone())).collect()
+    }
+
     /// Returns whether an instance has announced that it understands `version`. If it is a member
     /// of the view, the announcement must be of the incarnation known there: a later one may run
     /// another build.
--- a/node/src/mesh/request.rs
+++ b/node/src/mesh/request.rs
@@ -58,7 +58,7 @@
 pub(super) async fn read(app: &App, stream: &mut TcpStream) -> Result<Envelope, RequestError> {
     let length = stream.read_u32().await? as usize;
     if length > MAX_FRAME_BYTES {
-        app.metrics.refused_frames.with_label_values(&[FrameError::TooLarge(length).label()]).inc();
+        app.metrics.count_refused_frame(FrameError::TooLarge(length).label(), "none");
         return Err(FrameError::TooLarge(length).into());
     }
     let mut frame = Vec::new();
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -47,7 +47,7 @@
     pub cut_services: IntGauge,
     /// Engines by service, role and availability, as known to this instance.
     pub service_engines: IntGaugeVec,
-    /// Rejected mesh frames by reason.
+    /// Refused mesh frames by reason and version.
     pub refused_frames: IntCounterVec,
     /// Messages of protocol version 2 by message and what became of them.
     extensions: IntCounterVec,
@@ -204,7 +204,11 @@
                     &["service", "role", "state"],
                 ),
             ),
-            refused_frames: counters("lentil_mesh_refused_total", "Refused frames", &["reason"]),
+            refused_frames: counters(
+                "lentil_mesh_refused_total",
+                "Refused frames",
+                &["reason", "version"],
+            ),
             extensions: counters(
                 "lentil_mesh_extensions_total",
                 "Messages of protocol version 2",
@@ -297,6 +301,11 @@
         self.relayed.with_label_values(&[instance, end]).inc();
     }
 
+    /// Counts a refused mesh frame.
+    pub fn count_refused_frame(&self, reason: &str, version: &str) {
+        self.refused_frames.with_label_values(&[reason, version]).inc();
+    }
+
     /// Counts a message of protocol version 2: `sent`, `omitted`, `failed` or `received`.
     pub fn count_extension(&self, message: &str, end: &str) {
         self.extensions.with_label_values(&[message, end]).inc();
--- a/node/src/queries/status.rs
+++ b/node/src/queries/status.rs
@@ -4,9 +4,10 @@
         fleet::Load,
         ids::{EngineId, InstanceId, Revision},
         manifest::Role,
-        mesh::MemberState,
+        mesh::{Announcement, MemberState, VersionRange},
     },
     serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
 };
 
 /// State of the system as one instance sees it, answered at `/status` to operators.
@@ -22,6 +23,23 @@
     pub members: Vec<MemberStatus>,
     /// The engines that this instance knows of.
     pub engines: Vec<EngineStatus>,
+    /// The builds of all instances that this one knows of, itself included, by id. Empty in answers
+    /// of builds before 0.2.0.
+    #[serde(default)]
+    pub builds: Vec<BuildStatus>,
+}
+
+/// The build that an instance runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BuildStatus {
+    /// Id of the instance.
+    pub instance: InstanceId,
+    /// Its state by the failure detector; `None` if it is not a member of the view.
+    pub state: Option<MemberState>,
+    /// Package version of the build, if it was announced.
+    pub build: Option<String>,
+    /// Versions of the protocol between instances that the build announced.
+    pub versions: Option<VersionRange>,
 }
 
 /// State of another instance, by the failure detector.
@@ -77,5 +95,31 @@
         revision: app.revision(),
         members,
         engines,
+        builds: builds(app),
+    }
+}
+
+/// Returns the builds of this instance, of the members of its view and of those that have announced
+/// one. An announcement of an earlier incarnation than the member's is not the member's.
+fn builds(app: &App) -> Vec<BuildStatus> {
+    let mut announced: BTreeMap<InstanceId, Announcement> =
+        app.peer_versions.all().into_iter().collect();
+    let mut members: BTreeMap<InstanceId, Option<MemberState>> =
+        announced.keys().map(|id| (id.clone(), None)).collect();
+    let view = app.member_view();
+    for member in view.members() {
+        let id = &member.info.id;
+        members.insert(id.clone(), Some(member.state));
+        if announced.get(id).is_some_and(|a| a.start < member.info.start) {
+            announced.remove(id);
+        }
     }
+    members.insert(app.identity.instance.clone(), Some(MemberState::Alive));
+    announced.insert(app.identity.instance.clone(), app.announcement());
+    let build = |(instance, state)| {
+        let found = announced.remove(&instance);
+        let versions = found.as_ref().map(|a| a.versions);
+        BuildStatus { instance, state, build: found.and_then(|a| a.build), versions }
+    };
+    members.into_iter().map(build).collect()
 }
