--- a/daemon/tests/extensions.rs
+++ b/daemon/tests/extensions.rs
@@ -64,3 +64,32 @@
     let unknown = "someone-else".parse().unwrap();
     assert!(!send_extension(a, address, &unknown, pace()).await);
 }
+
+/// Guards against a guarantee that needs a message of version 2 while a member runs an older build:
+/// instances that announce nothing find each other, follow the manifest and are ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_without_announcements_follow_the_manifest() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    let first = deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let apps: Vec<&App> = instances.iter().map(|i| &*i.app).collect();
+    eventually("both are members and have announced themselves", || {
+        let announced = |app: &&App| app.peer_versions.all().len() == 1;
+        apps.iter().all(|app| announced(app) && app.member_view().live().count() == 1)
+    })
+    .await;
+    for app in &apps {
+        for (id, announced) in app.peer_versions.all() {
+            let versions = VersionRange::UNANNOUNCED;
+            app.peer_versions.record(&id, Announcement { versions, ..announced });
+        }
+    }
+    let second = deployment.apply_manifest(first).await;
+    eventually("both follow the manifest", || apps.iter().all(|app| app.revision() == second))
+        .await;
+    for app in &apps {
+        assert_eq!(broadcast_extension(app, &pace()).await, 0);
+        assert!(app.ready());
+        assert_eq!(app.member_view().live().count(), 1);
+    }
+}
