Workspaces in logs, metrics, lentilctl explain and burn

An operator could not see which workspace a request belongs to.

End lines name the workspace if it is known; lines of deployments without workspaces are unchanged. lentilctl explain names it in its first line, burn lists the ends by workspace. lentil_workspace_requests_total has at most 20 values of the label workspace, one of them `other`.

--- a/ctl/src/queries/burn.rs
+++ b/ctl/src/queries/burn.rs
@@ -82,6 +82,8 @@
     pub start: Option<OffsetDateTime>,
     /// For each route, its windows by number, without empty ones.
     pub routes: BTreeMap<String, BTreeMap<u64, EndCounts>>,
+    /// Ends of requests by workspace, without requests of unknown workspaces.
+    pub workspaces: BTreeMap<String, EndCounts>,
     /// Number of lines that the instances dropped from their logs.
     pub left_out: u64,
 }
@@ -96,6 +98,10 @@
             };
             let start = *report.start.get_or_insert(line.at);
             let window = (line.since(start).as_secs_f64() / seconds) as u64;
+            if let Some(workspace) = line.field("workspace") {
+                let ends = report.workspaces.entry(workspace.to_owned()).or_default();
+                ends.0[end as usize] += 1;
+            }
             let windows = report.routes.entry(route.to_owned()).or_default();
             windows.entry(window).or_default().0[end as usize] += 1;
         }
@@ -125,6 +131,7 @@
             }
             text.push('\n');
         }
+        text.push_str(&self.workspace_text());
         if self.left_out > 0 {
             let _ = writeln!(text, "{} lines were left out: requests are missing", self.left_out);
         }
@@ -132,6 +139,29 @@
     }
 }
 
+impl BurnReport {
+    /// Formats the ends by workspace as a text table, those with the most requests first; empty if
+    /// no workspace is known.
+    fn workspace_text(&self) -> String {
+        let mut workspaces: Vec<_> = self.workspaces.iter().collect();
+        workspaces.sort_by_key(|(_, ends)| std::cmp::Reverse(ends.total()));
+        let mut text = String::new();
+        for (i, (workspace, ends)) in workspaces.into_iter().enumerate() {
+            if i == 0 {
+                text.push_str(
+                    "\nworkspace            requests   good   late refused failed   left  good %\n",
+                );
+            }
+            let _ = write!(text, "{workspace:<20} {:>8}", ends.total());
+            for (end, width) in RequestEnd::ALL.into_iter().zip([6, 6, 7, 6, 6]) {
+                let _ = write!(text, " {:>width$}", ends.count(end));
+            }
+            let _ = writeln!(text, " {:>7.2}", 100.0 * (1.0 - ends.bad_share()));
+        }
+        text
+    }
+}
+
 /// Adds up the counts of several windows.
 pub(super) fn total_counts<'a>(windows: impl Iterator<Item = &'a EndCounts>) -> EndCounts {
     windows.fold(EndCounts::default(), |mut sum, ends| {
--- a/ctl/src/queries/explain.rs
+++ b/ctl/src/queries/explain.rs
@@ -48,7 +48,10 @@
     all.sort_by_key(|(l, _)| l.at);
     let mut text = String::new();
     // Writing to a string cannot fail.
-    let _ = writeln!(text, "request {id}, first seen {} by {}", first.at, first.instance);
+    let workspace = own.iter().find_map(|l| l.field("workspace"));
+    let workspace = workspace.map_or_else(String::new, |w| format!(" of workspace {w}"));
+    let _ =
+        writeln!(text, "request {id}{workspace}, first seen {} by {}", first.at, first.instance);
     for (line, mark) in all {
         let at = (line.at - first.at).as_seconds_f64();
         let _ = writeln!(text, "{mark} {at:+8.3} s  {}  {}", line.instance, line.message);
@@ -114,8 +117,11 @@
         "no-capacity" => "nothing was sent, the queues were too long; the caller may retry",
         "no-target" => "nothing ran, no target was open for it; see breaker and directory lines",
         "not-ready" => {
-            "nothing was sent, the instance did not know the routes yet, or reached no target"
+            "nothing was sent, the instance did not know the routes yet, had read the keys too long \
+             ago, or reached no target"
         }
+        "over-share" => "nothing was sent, its workspace used more than its share; the caller may retry",
+        "no-caller" => "nothing was sent, it had no known key",
         "stopping" => "nothing was sent, the instance was stopping",
         "no-route" => "no route of the configuration in force matches it",
         "quarantined" => "not sent again, it has crashed two targets",
--- a/ctl/tests/logs.rs
+++ b/ctl/tests/logs.rs
@@ -13,8 +13,8 @@
  5.1 edge-2 2026-01-11T20:30:21.13Z [INFO] breaker: target=i-8 open after="it has crashed"
  5.1 edge-2 2026-01-11T20:30:21.131Z [INFO] front: id=aa answered status=502 kind=target-lost outcome=unknown retry_ms=0 error="engine"
  5.2 edge-1 2026-01-11T20:30:21.2Z [INFO] run: id=bb route=r-a status=200 late=no rank=1 prompt=9 output=2 first_ms=40 total_ms=50 gap_ms=2 sends=1 events=5
- 5.3 edge-1 2026-01-11T20:30:21.3Z [INFO] run: id=cc route=r-a status=200 late=yes rank=6 prompt=9 output=2 first_ms=900 total_ms=990 gap_ms=2 sends=1 events=5
- 5.4 edge-1 2026-01-11T20:30:21.4Z [INFO] run: id=dd given_up route=r-a after_ms=0 routes=7 targets_age_ms=3 sends=0 events=0 why="no-capacity: the queue is 9 ms long"
+ 5.3 edge-1 2026-01-11T20:30:21.3Z [INFO] run: id=cc route=r-a workspace=acme status=200 late=yes rank=6 prompt=9 output=2 first_ms=900 total_ms=990 gap_ms=2 sends=1 events=5
+ 5.4 edge-1 2026-01-11T20:30:21.4Z [INFO] run: id=dd given_up route=r-a workspace=acme after_ms=0 routes=7 targets_age_ms=3 sends=0 events=0 why="no-capacity: the queue is 9 ms long"
  5.5 edge-1 2026-01-11T20:30:33.4Z [INFO] run: id=ee cut route=r-<b> after_ms=9 routes=7 targets_age_ms=3 sends=1 events=4 why="target-lost: x"
  5.6 edge-1 2026-01-11T20:30:33.5Z [INFO] run: id=ff left route=r-a after_ms=9 routes=7 targets_age_ms=3 sends=1 events=0 why="the caller has gone"
  6.0 edge-1 2026-01-11T20:31:00.0Z [WARN] reach: service=s cut_off=yes targets=9 answered=0 relays=1 reached_by_others=9 lost_requests=false
@@ -76,6 +76,18 @@
     assert!(text.contains("33.33") && text.contains("6.7") && text.contains("12 lines"), "{text}");
 }
 
+#[test]
+fn report_and_timeline_show_the_workspace() {
+    let report = BurnReport::from_logs(&logs(), 10.0);
+    let ends = report.workspaces["acme"];
+    assert_eq!((ends.count(RequestEnd::Late), ends.count(RequestEnd::Refused)), (1, 1));
+    assert_eq!(report.workspaces.len(), 1, "other requests have no workspace");
+    let text = report.text(0.9, 10.0);
+    assert!(text.lines().any(|l| l.starts_with("acme ")), "{text}");
+    let timeline = request_timeline(&logs(), "cc").unwrap();
+    assert!(timeline.starts_with("request cc of workspace acme, first seen"), "{timeline}");
+}
+
 #[test]
 fn html_page_is_self_contained() {
     let page = html_page(&BurnReport::from_logs(&logs(), 10.0), 0.99, 10.0).unwrap();
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of an instance.
 
 use {
-    lentil_core::ids::EngineId,
+    lentil_core::ids::{EngineId, WorkspaceId},
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
         Opts, Registry, TextEncoder,
@@ -107,6 +107,10 @@
     pub resident_bytes: IntGauge,
     /// Targets with a label of their own in `attempts`.
     labelled: Mutex<BTreeSet<EngineId>>,
+    /// Requests by workspace and what was missed.
+    workspace_requests: IntCounterVec,
+    /// Workspaces with a label of their own in `workspace_requests`.
+    labelled_workspaces: Mutex<BTreeSet<WorkspaceId>>,
     /// Instances with a label of their own in `relayed`.
     labelled_relays: Mutex<BTreeSet<EngineId>>,
 }
@@ -115,16 +119,25 @@
 const MAX_LABELLED_TARGETS: usize = 256;
 /// Label shared by all targets without a label of their own.
 const OTHER_TARGETS: &str = "others";
+/// Limit on workspace labels, besides [`OTHER_WORKSPACES`]; there may be thousands of workspaces.
+const MAX_LABELLED_WORKSPACES: usize = 19;
+/// Label shared by all workspaces without a label of their own.
+const OTHER_WORKSPACES: &str = "other";
 /// Values of the label `end` for attempts on targets.
 const ATTEMPT_ENDS: [&str; 3] = ["answered", "refused", "lost"];
 
-/// Returns the label of a target or instance; those beyond the limit share one.
-fn label<'a>(labelled: &Mutex<BTreeSet<EngineId>>, id: &'a EngineId) -> &'a str {
+/// Returns whether a name has a label of its own; those beyond the limit share one.
+fn has_label<T: Ord + Clone>(labelled: &Mutex<BTreeSet<T>>, id: &T, limit: usize) -> bool {
     let mut labelled = labelled.lock().unwrap_or_else(PoisonError::into_inner);
-    if !labelled.contains(id) && labelled.len() < MAX_LABELLED_TARGETS {
+    if !labelled.contains(id) && labelled.len() < limit {
         labelled.insert(id.clone());
     }
-    if labelled.contains(id) {
+    labelled.contains(id)
+}
+
+/// Returns the label of a target or instance.
+fn label<'a>(labelled: &Mutex<BTreeSet<EngineId>>, id: &'a EngineId) -> &'a str {
+    if has_label(labelled, id, MAX_LABELLED_TARGETS) {
         id.as_str()
     } else {
         OTHER_TARGETS
@@ -270,6 +283,12 @@
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
             labelled: Mutex::default(),
+            workspace_requests: counters(
+                "lentil_workspace_requests_total",
+                "Requests by workspace and how they ended",
+                &["workspace", "end"],
+            ),
+            labelled_workspaces: Mutex::default(),
             labelled_relays: Mutex::default(),
             registry: r,
         }
@@ -285,6 +304,14 @@
         self.objectives.with_label_values(&labels).inc();
     }
 
+    /// Counts a finished request of a workspace; `end` is `good`, or says what was missed.
+    pub fn record_workspace_end(&self, workspace: Option<&WorkspaceId>, end: &str) {
+        let Some(id) = workspace else { return };
+        let own = has_label(&self.labelled_workspaces, id, MAX_LABELLED_WORKSPACES);
+        let label = if own { id.as_str() } else { OTHER_WORKSPACES };
+        self.workspace_requests.with_label_values(&[label, end]).inc();
+    }
+
     /// Counts an attempt on a target: `answered`, `refused` or `lost`.
     pub fn record_attempt(&self, target: &EngineId, end: &str) {
         let target = label(&self.labelled, target);
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -19,10 +19,11 @@
         let first = self.first_token.map_or(0, |t| (t - request.arrived).as_millis());
         let late = if self.is_late() { "yes" } else { "no" };
         log::info!(
-            "run: id={}{} route={} status={} late={late} rank={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
+            "run: id={}{} route={}{} status={} late={late} rank={} prompt={} output={} first_ms={first} total_ms={} gap_ms={} sends={} events={}",
             proxied.request.id,
             request.relayed_text(),
             request.class,
+            request.workspace_text(),
             self.status,
             request.routing.rank,
             request.routing.prompt,
@@ -40,10 +41,11 @@
         let waited = (self.app.now() - self.request.arrived).as_millis();
         let age = (self.app.now() - self.app.fleet().last_read).as_millis();
         log::info!(
-            "run: id={}{} {how} route={} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
+            "run: id={}{} {how} route={}{} after_ms={waited} routes={} targets_age_ms={age} sends={} events={} why={why:?}",
             proxied.request.id,
             self.request.relayed_text(),
             self.request.class,
+            self.request.workspace_text(),
             proxied.version,
             self.runs_sent,
             self.last_event.unwrap_or(0),
@@ -94,6 +96,7 @@
             metrics.record_times(class, first, self.longest_gap);
             let missed = (!good).then_some("status").or(self.is_late().then_some("late"));
             metrics.record_end(service, class, if good { "whole" } else { "failure" }, missed);
+            metrics.record_workspace_end(request.workspace.as_ref(), missed.unwrap_or("good"));
         }
         if good {
             self.app.quarantine().clear(request.fingerprint);
@@ -115,6 +118,11 @@
         self.relayed.as_ref().map_or_else(String::new, |r| format!(" for={}", r.instance))
     }
 
+    /// Returns the field of an end line that names the workspace, if it is known.
+    fn workspace_text(&self) -> String {
+        self.workspace.as_ref().map_or_else(String::new, |w| format!(" workspace={w}"))
+    }
+
     /// Returns the request's id in logs: the one that the caller gave, or else the run's.
     pub(super) fn log_id<'a>(&'a self, run: &'a RunId) -> &'a str {
         self.proxied.as_ref().map_or(run.as_str(), |r| &r.request.id)
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -199,12 +199,11 @@
         if request.relayed.is_some() {
             return;
         }
-        let service = request.routing.model.as_str();
-        self.app
-            .metrics
-            .requests
-            .with_label_values(&[service, request.class.as_str(), "left"])
-            .inc();
+        let (service, metrics) = (request.routing.model.as_str(), &self.app.metrics);
+        metrics.requests.with_label_values(&[service, request.class.as_str(), "left"]).inc();
+        if request.proxied.is_some() {
+            metrics.record_workspace_end(request.workspace.as_ref(), "left");
+        }
     }
 
     /// Ends the request with a fault, which is sent to the caller.
@@ -221,6 +220,9 @@
         let code = fault.kind.answer().code;
         if request.relayed.is_none() {
             self.app.metrics.record_end(service, class, code, Some(code));
+            if request.proxied.is_some() {
+                self.app.metrics.record_workspace_end(request.workspace.as_ref(), code);
+            }
         }
         // The caller may have disconnected.
         let _ = self.sender.send(Err(fault)).await;
