Fair shares of workspaces over all instances

Proxied requests were not charged to workspaces, and use was counted for each instance alone, so a large workspace could displace the others.

An instance charges the proxied requests of identified workspaces, reports its 16 largest uses and the total to two other instances a second (WorkspaceUse), and estimates the use at all instances from the reports it has. While requests queue, a workspace whose use exceeds a multiple of the fair share gets 429 with the time until the queue is short enough or its use has decayed; the multiple falls from 4 to 1.25 with the length of the queue. A workspace that is served less than 0.8 times as often as the others at the instance is not refused for its share, nor is a request while less urgent ones of its service arrive. Without workspaces nothing is charged, refused or sent.

Not played with processes under load.

--- a/node/src/app/admission.rs
+++ b/node/src/app/admission.rs
@@ -1,6 +1,6 @@
 use {
     lentil_core::{
-        admit::WorkspaceUsage,
+        admit::{FleetShares, WorkspaceUsage},
         clock::Time,
         ids::{CellId, ModelId, Tokens},
         limit::{ResendBudget, ResendLimit, RetryBudget},
@@ -19,6 +19,8 @@
 pub struct Admission {
     /// Recent use of the engines by each workspace.
     pub usage: WorkspaceUsage,
+    /// Use by each workspace over all instances, by proxied requests.
+    pub shares: FleetShares,
     /// Retry budget of requests that are not proxied.
     pub retries: RetryBudget,
     /// Demand that arrives at this instance, by cell and model.
@@ -33,6 +35,7 @@
     pub fn new(retries: f64, resend_limit: ResendLimit) -> Self {
         Self {
             usage: WorkspaceUsage::default(),
+            shares: FleetShares::default(),
             retries: RetryBudget::new(retries),
             demand_meters: HashMap::new(),
             mean_outputs: HashMap::new(),
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -32,4 +32,5 @@
     peer_versions::PeerVersions,
     request::{request, RequestError},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
+    workspace_use::report_workspace_use,
 };
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -2,7 +2,7 @@
     super::{engine_choice::EngineChoice, task::Task},
     crate::ports::Target,
     lentil_core::{
-        admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience},
+        admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience, ShareRequest},
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, PrefixProgress},
@@ -12,6 +12,7 @@
         poison::{RunPermission, Subject},
         route::{choose, shared_prefix, Pick, RoutingOrigin, RoutingRequest},
     },
+    std::time::Duration,
 };
 
 impl Task {
@@ -104,11 +105,9 @@
             Some(proxied) if attempts == 0 => {
                 let (left, idle_timeout) =
                     (proxied.deadline - now, proxied.route.idle_timeout.duration());
-                let pick = choose_and_queue(
-                    &mut routing,
-                    CallerPatience { left, idle_timeout },
-                    pick_for,
-                )?;
+                let pick =
+                    choose_and_queue(&mut routing, CallerPatience { left, idle_timeout }, pick_for);
+                let pick = self.admit_share(pick, now)?;
                 self.request.routing.rank = routing.rank;
                 let class = self.request.class.as_str();
                 app.metrics
@@ -199,6 +198,31 @@
         }
     }
 
+    /// Admits or refuses a proxied request by the share of its workspace, if that is known, and
+    /// charges its expected cost to the workspace if admitted. `picked` is the choice by queues.
+    fn admit_share(&mut self, picked: Result<Pick, Fault>, now: Time) -> Result<Pick, Fault> {
+        let request = &self.request;
+        let Some(workspace) = &request.workspace else { return picked };
+        // Engines may be chosen more than once for one attempt, when a send was denied.
+        if std::mem::replace(&mut self.share_checked, true) {
+            return picked;
+        }
+        let routing = &request.routing;
+        let share = ShareRequest {
+            workspace,
+            service: &routing.model,
+            rank: routing.class.rank(),
+            first: routing.class.first.duration(),
+            wait: picked.as_ref().map_or(Duration::ZERO, |pick| pick.queue_wait),
+        };
+        let mut admission = self.app.admission();
+        admission.shares.admit(&share, now)?;
+        let pick = picked?;
+        let cost = pick.end.saturating_sub(pick.queue_wait).as_secs_f64();
+        admission.shares.record_admission(&share, cost, now);
+        Ok(pick)
+    }
+
     /// Admits or refuses the request, and charges its expected cost to the workspace if admitted.
     fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
         let request = &self.request;
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -61,6 +61,8 @@
     pub(super) relays_tried: u32,
     /// How the latest of them failed.
     pub(super) relay_fault: Option<Fault>,
+    /// Whether the request was charged to its workspace, or refused for its share.
+    pub(super) share_checked: bool,
 }
 
 impl Task {
@@ -91,6 +93,7 @@
             unreached: SmallVec::new(),
             relays_tried: 0,
             relay_fault: None,
+            share_checked: false,
         }
     }
 
