--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -35,4 +35,5 @@
     refusals::Refusals,
     request::{request, RequestError},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
+    workspace_use::report_workspace_use,
 };
