Instances outside the holder's view learn who reports the usage

Cause: the holder announces itself to its view (64 instances of a region). Change: a new holder is gossiped on by those that hear its announcement, and again when members join.

--- a/node/src/mesh/heartbeat.rs
+++ b/node/src/mesh/heartbeat.rs
@@ -1,6 +1,6 @@
 use {
     super::send_datagram,
-    crate::app::App,
+    crate::{app::App, usage},
     lentil_core::{
         ids::InstanceId,
         mesh::{Heartbeat, MemberState, Message, Update},
@@ -33,6 +33,9 @@
 /// Logs which instances joined or left since the last call.
 fn log_member_changes(app: &App, known: &mut BTreeSet<InstanceId>) {
     let live: BTreeSet<InstanceId> = app.member_view().live().map(|m| m.info.id.clone()).collect();
+    if live.difference(known).next().is_some() {
+        usage::repeat_holder(app);
+    }
     live.difference(known).for_each(|id| log::info!("mesh: member={id} lives"));
     known.difference(&live).for_each(|id| log::info!("mesh: member={id} gone"));
     *known = live;
--- a/node/src/usage/counts.rs
+++ b/node/src/usage/counts.rs
@@ -7,6 +7,7 @@
     lentil_core::{
         clock::Time,
         ids::{Fence, Millis},
+        mesh::Update,
         order::Holder,
         usage::{UnixTime, UsageMessage, WindowId},
     },
@@ -74,6 +75,14 @@
     }
 }
 
+/// Gossips the holder of the duty again, for instances that were not members when it acquired it.
+pub(crate) fn repeat_holder(app: &App) {
+    let Some(cell) = app.usage().map(|u| u.cell.clone()) else { return };
+    let Some(held) = app.holders().holder(&cell).cloned() else { return };
+    let CellHolder { holder, address, fence: number } = held;
+    app.member_view().queue_update(Update::CellHolder { cell, holder, address, number });
+}
+
 /// Follows the wall clock, and logs when it begins to be wrong.
 fn check_wall_clock(app: &App, usage: &mut Usage, wall: Millis, now: Time) {
     let wrong = usage.time.follow(wall, now);
@@ -112,7 +121,12 @@
     if known.is_some_and(|k| k > fence) {
         return;
     }
-    app.holders().record_holder(&cell, CellHolder { holder: from.clone(), address, fence });
+    let record = CellHolder { holder: from.clone(), address, fence };
+    if app.holders().record_holder(&cell, record) {
+        // The holder announces itself to its view only; gossip reaches the others.
+        let (cell, holder) = (cell.clone(), from.clone());
+        app.member_view().queue_update(Update::CellHolder { cell, holder, address, number: fence });
+    }
     let Some(mut usage) = app.usage() else { return };
     usage.heard = Some(now);
     if let Some(time) = message.time {
--- a/node/src/usage/mod.rs
+++ b/node/src/usage/mod.rs
@@ -9,7 +9,7 @@
 mod record_store;
 mod state;
 
-pub(crate) use counts::record_message;
+pub(crate) use counts::{record_message, repeat_holder};
 pub use {counts::send_counts, state::Usage};
 
 use {
