Scaling: measured load without the fixed latency of prompts, faster removal

Cause: a prompt counted as work for the whole time that it is in flight. Change: prefill work in flight is divided by the time for which a prompt is in flight at an idle engine (0.1 s). One order removes up to a quarter of the targets every 2 s, from 12 s after the first work on.

--- a/core/src/plan/scaling_load.rs
+++ b/core/src/plan/scaling_load.rs
@@ -13,7 +13,7 @@
 const WARM_UP: Duration = Duration::from_secs(6);
 /// Time from the first work until a whole period of the demand has been seen. Before it, the need may
 /// be that of a trough.
-const FULL_PERIOD: Duration = Duration::from_secs(14);
+const FULL_PERIOD: Duration = Duration::from_secs(12);
 /// Ratio of a burst to the mean, for which there must be room at any time: a target that is ordered
 /// when a burst begins serves only when most bursts are over.
 const BURST_FACTOR: f64 = 1.9;
--- a/node/src/control/balance.rs
+++ b/node/src/control/balance.rs
@@ -19,6 +19,10 @@
 /// build up and drain between two requests.
 const FULL_QUEUE_S: f64 = 0.05;
 
+/// Time for which a prompt is in flight at an idle engine, whatever its length: prefill work in flight
+/// over this time is the share of the time for which the engine works.
+const PROMPT_LATENCY_S: f64 = 0.1;
+
 impl Controller {
     /// Starts at most one role change among the registered engines of this cell.
     pub(super) fn balance_roles(&mut self, app: &App) {
@@ -113,7 +117,7 @@
     let mut busy = PerRole { prefill: 0.0, decode: 0.0 };
     for engine in engines {
         let load = engine.load.expected(engine.prefill_rate(), 1, now);
-        let prefill = (load.queued.0 as f64 / engine.prefill_rate() / FULL_QUEUE_S).min(1.0);
+        let prefill = (load.queued.0 as f64 / engine.prefill_rate() / PROMPT_LATENCY_S).min(1.0);
         match engine.role {
             Role::Prefill => busy.prefill += prefill,
             Role::Decode => {
