Current pace of targets in the choice of targets

Targets on shared machines differ in speed lastingly and from moment to moment, and the choice knew one rate for all targets of a service. For a target that runs whole requests it did not depend on speed at all.

Lasting speed is learned for prefill, decode and plain requests of each target that announces a pace. Targets of plain services whose cost is nearly equal are chosen at random, within twice the time of a request: others' requests in flight are known too late for more.

--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -1,5 +1,8 @@
 use {
-    super::{Availability, HeldPrefixes, KvCache, LoadView, Notice, PrefixProgress, Registration},
+    super::{
+        Availability, HeldPrefixes, KvCache, LoadView, Notice, PrefixProgress, Registration,
+        TargetPace, TargetSpeed,
+    },
     crate::{
         clock::Time,
         ids::{
@@ -52,6 +55,10 @@
     pub adapters: SmallVec<[AdapterId; 4]>,
     /// Estimate of its load.
     pub load: LoadView,
+    /// Its pace at the moment, if it announces one.
+    pub pace: TargetPace,
+    /// Its lasting speed; learned only if it announces its pace.
+    pub speed: TargetSpeed,
     /// Its KV cache, if cached prefixes of its service are weighed against the wait.
     pub kv: Option<KvCache>,
     /// Shared prefixes in its memory; recorded only if `kv` is known.
@@ -92,6 +99,8 @@
             boot: Incarnation(0),
             adapters: SmallVec::new(),
             load: LoadView::default(),
+            pace: TargetPace::default(),
+            speed: TargetSpeed::default(),
             kv: None,
             held_prefixes: HeldPrefixes::default(),
             breaker: Breaker::default(),
@@ -128,6 +137,8 @@
             boot: target.boot,
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
+            pace: TargetPace::default(),
+            speed: TargetSpeed::default(),
             kv: None,
             held_prefixes: HeldPrefixes::default(),
             breaker: Breaker::default(),
--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -15,11 +15,13 @@
 mod running_mean;
 mod software_history;
 mod target_notices;
+mod target_pace;
+mod target_speed;
 
 pub use {
     availability::*, cache::*, engine::*, held_prefixes::*, in_flight::*, kv_cache::*,
     kv_caches::*, load::*, prefix::*, prefix_locations::*, queued_tokens::*, registration::*,
-    running_mean::*, software_history::*, target_notices::*,
+    running_mean::*, software_history::*, target_notices::*, target_pace::*, target_speed::*,
 };
 
 #[cfg(test)]
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -109,6 +109,7 @@
                 });
                 keep_cheapest(&mut both, found, |c| {
                     c.prefill.max(c.slot_wait)
+                        + c.slowness
                         + c.network
                         + c.utilization * FULL_ENGINE_PENALTY_S
                         + c.uncertainty
@@ -180,6 +181,7 @@
 /// Returns the pick that prefills on one engine and decodes on another, with its score.
 fn disaggregated(p: Candidate, d: Candidate, request: &RoutingRequest) -> (Pick, f64) {
     let transfer = KV_TRANSFER_BASE_S + request.prompt.0 as f64 * KV_TRANSFER_S_PER_TOKEN;
+    let transfer = transfer * p.cost.pace;
     let first = |prefill: f64| {
         let ready = prefill + p.cost.network + transfer;
         ready.max(d.cost.slot_wait) + d.cost.network + d.cost.per_token
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -20,6 +20,10 @@
 /// Difference in cost below which engines with tracked in-flight work count as equal, so that the
 /// choice between them is random.
 const TIE_MARGIN_S: f64 = 0.002;
+/// The same among targets of plain services that announce their pace, as a multiple of the time of a
+/// request. What other instances have in flight is known later than such requests end, so with a
+/// smaller margin the instances choose the same target at the same time.
+const PACED_MARGIN: f64 = 2.0;
 /// Cost of copying a shared prefix to another engine whose memory and link are unknown: the transfer
 /// takes 15 ms, and the copy evicts other prefixes from that engine's KV cache.
 const PREFIX_FETCH_S: f64 = 0.08;
@@ -45,6 +49,11 @@
     pub slot_wait: f64,
     /// Time between two output tokens at the current load.
     pub per_token: f64,
+    /// Factor by which work takes longer there at the moment.
+    pub pace: f64,
+    /// Seconds by which a token, or a plain request, takes longer there than on average at the
+    /// service's targets; 0 if the engine announces no pace.
+    pub slowness: f64,
     /// Network latency to the engine.
     pub network: f64,
     /// Decode slots in use or waited for, as a share of all slots; above 1 if requests wait.
@@ -81,7 +90,11 @@
         None => engine.load.expected(rate, 1, now),
     };
     let permit_wait = engine.limit.wait(now).as_secs_f64();
-    let queue_wait = known.queued.0 as f64 / rate + permit_wait;
+    let pace = engine.pace.at(now);
+    let per_token = token_interval(engine, &load) * pace;
+    let queue = known.queued.0 as f64 / rate;
+    let queue_delay = engine.pace.delay(queue, now);
+    let queue_wait = queue + permit_wait + queue_delay;
     let assumed = copies.is_assumed(index);
     let reuse = match (engine.load.in_flight.as_ref(), copies.held()) {
         (Some(_), Some(held)) => held.reuse_at(engine, index, request, queue_wait, now),
@@ -98,7 +111,9 @@
     };
     let PrefixReuse { hit, fetch, .. } = reuse;
     let pending = (load.queued + request.prompt - hit).0 as f64;
-    let known_prefill = queue_wait + (request.prompt - hit).0 as f64 / rate + reuse.transfer_s;
+    let work = (request.prompt - hit).0 as f64 / rate;
+    let work_delay = engine.pace.delay(queue + work, now) - queue_delay;
+    let known_prefill = queue_wait + work + work_delay + reuse.transfer_s;
     let network = match () {
         () if engine.region != origin.region => OTHER_REGION_S,
         () if engine.zone != origin.zone && engine.load.in_flight.is_some() => {
@@ -107,15 +122,23 @@
         () if engine.zone != origin.zone => OTHER_ZONE_S,
         () => 0.0,
     };
+    let spreads = engine.speed.plain.is_known() && request.prompt.0 == 0;
+    let margin = if spreads { TIE_MARGIN_S.max(PACED_MARGIN * per_token) } else { TIE_MARGIN_S };
     Cost {
-        prefill: pending / rate + permit_wait + reuse.transfer_s + reuse.others_s,
+        prefill: pending / rate
+            + engine.pace.delay(pending / rate, now)
+            + permit_wait
+            + reuse.transfer_s
+            + reuse.others_s,
         known_prefill,
         queue_wait,
-        slot_wait: slot_wait(engine, &load, request) + permit_wait,
-        per_token: token_interval(engine, &load),
+        slot_wait: slot_wait(engine, &load, request) * pace + permit_wait,
+        per_token,
+        pace,
+        slowness: slowness(engine, per_token, pace),
         network,
         utilization: f64::from(load.running + load.waiting) / f64::from(engine.rates.slots),
-        uncertainty: random_uncertainty(engine, origin, index, now),
+        uncertainty: random_uncertainty(engine, origin, index, margin, now),
         hit,
         assumed: reuse.uncertain,
         fetch,
@@ -131,6 +154,16 @@
     f64::from(over) * request.output.0 as f64 / engine.rates.decode.0
 }
 
+/// Returns the part of `per_token` that is due to the engine's lasting speed and present pace.
+fn slowness(engine: &EngineView, per_token: f64, pace: f64) -> f64 {
+    if !engine.pace.is_announced() {
+        return 0.0;
+    }
+    // An engine does only one of both kinds of work; the factor of the other is 1.
+    let speed = engine.speed.plain.get() * engine.speed.decode.get();
+    per_token * (1.0 - 1.0 / (pace * speed))
+}
+
 /// Returns the seconds between two tokens of a stream, longer while the engine also prefills.
 fn token_interval(engine: &EngineView, load: &Load) -> f64 {
     let alone = f64::from(engine.rates.slots) / engine.rates.decode.0;
@@ -142,9 +175,15 @@
 
 /// Returns a random number from 0 to the seconds by which the load may have changed since its
 /// report.
-fn random_uncertainty(engine: &EngineView, origin: &RoutingOrigin, index: usize, now: Time) -> f64 {
+fn random_uncertainty(
+    engine: &EngineView,
+    origin: &RoutingOrigin,
+    index: usize,
+    margin: f64,
+    now: Time,
+) -> f64 {
     if engine.load.in_flight.is_some() {
-        return origin.random(index) * TIE_MARGIN_S;
+        return origin.random(index) * margin;
     }
     let age = (now - engine.load.reported_at()).as_secs_f64().min(MAX_REPORT_AGE_S);
     origin.random(index) * age * LOAD_DRIFT_PER_S
--- a/core/src/route/held_copies.rs
+++ b/core/src/route/held_copies.rs
@@ -26,6 +26,7 @@
     /// Tokens placed in its memory per second.
     placed_per_s: f64,
     link_wait: f64,
+    pace: f64,
 }
 
 impl Holder {
@@ -98,6 +99,7 @@
                 progress,
                 newer,
                 placed_per_s: held.uses_per_s(now) * request.prompt.0 as f64,
+                pace: engine.pace.at(now),
                 link_wait: held.link_wait(now).as_secs_f64(),
             });
         }
@@ -130,7 +132,8 @@
                 continue;
             }
             let link = source.link_wait.max(held.link_wait(now).as_secs_f64() - wait).max(0.0);
-            let transfer = link + kv.transfer_s(self.tokens, source.zone != engine.zone);
+            let transfer =
+                link + kv.transfer_s(self.tokens, source.zone != engine.zone) * source.pace;
             let there = source.probability(wait);
             let cost = transfer + FETCH_COST_S + (1.0 - there) * read + copy_s;
             if cost < best.0 {
--- a/node/src/app/announcements.rs
+++ b/node/src/app/announcements.rs
@@ -79,6 +79,9 @@
         if let Some(time) = announced.hold {
             self.record_hold(target, time);
         }
+        if let Some(pace) = announced.pace {
+            self.fleet().record_pace(&target.id, target.boot, pace, self.now());
+        }
         let Some(limit) = announced.limit else { return };
         if let Some(note) = self.record_limit(&target.id, None, limit, sent, "answer") {
             super::lock(&self.limit_notes).push(note);
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -52,6 +52,19 @@
     pub prefill: RunningMean,
     /// Seconds that a plain request occupies a slot.
     pub service_time: RunningMean,
+    /// Seconds between two tokens of a stream; learned only of targets that announce their pace.
+    pub token_interval: RunningMean,
+}
+
+/// Kind of work by which the lasting speed of a target is learned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Prefill of a prompt; its unit is a token.
+    Prefill,
+    /// Decoding of a stream; its unit is a token.
+    Decode,
+    /// A plain request.
+    Plain,
 }
 
 /// Current state of a plain service's target, as known to this instance.
@@ -78,13 +91,21 @@
 
 impl LearnedRates {
     fn apply(&self, engine: &mut EngineView) {
+        // The factors are 1 for targets that announce no pace.
+        let speed = engine.speed;
         if let Some(prefill) = self.prefill.mean() {
-            engine.rates.prefill = TokenRate(prefill.max(1.0));
+            engine.rates.prefill = TokenRate((prefill / speed.prefill.get()).max(1.0));
         }
+        let slots = f64::from(engine.rates.slots);
         if let Some(seconds) = self.service_time.mean() {
             // A plain request counts as one token.
-            let slots = f64::from(engine.rates.slots);
+            let seconds = seconds * speed.plain.get();
             engine.rates.decode = TokenRate(slots / seconds.max(1e-3));
+        } else if let Some(seconds) = self.token_interval.mean() {
+            if engine.pace.is_announced() {
+                let seconds = seconds * speed.decode.get();
+                engine.rates.decode = TokenRate(slots / seconds.max(1e-3));
+            }
         }
     }
 }
@@ -213,6 +234,34 @@
         self.engines.iter_mut().filter(|e| e.model == *service).for_each(|e| rates.apply(e));
     }
 
+    /// Records the pace that a target's process announced in an answer.
+    pub fn record_pace(&mut self, id: &EngineId, boot: Incarnation, pace: f64, now: Time) {
+        let engine = self.engines.iter_mut().find(|e| e.id == *id && e.boot == boot);
+        let Some(engine) = engine else { return };
+        engine.pace.record(pace, now);
+        if self.caches.record_paced(&engine.model) {
+            log::info!("pace: service={} announced by target={id}", engine.model);
+            self.apply_caches();
+        }
+    }
+
+    /// Learns the lasting speed of a target from work that took `seconds` per unit at `pace`, if the
+    /// target announces its pace. The mean of its service is updated before.
+    pub fn record_speed(&mut self, id: &EngineId, kind: WorkKind, seconds: f64, pace: f64) {
+        let Some(engine) = self.engines.iter_mut().find(|e| e.id == *id) else { return };
+        let rates = self.learned.get(&engine.model).copied().unwrap_or_default();
+        let (usual, factor) = match kind {
+            WorkKind::Prefill => {
+                (rates.prefill.mean().map(|rate| 1.0 / rate), &mut engine.speed.prefill)
+            }
+            WorkKind::Decode => (rates.token_interval.mean(), &mut engine.speed.decode),
+            WorkKind::Plain => (rates.service_time.mean(), &mut engine.speed.plain),
+        };
+        let Some(usual) = usual.filter(|_| engine.pace.is_announced()) else { return };
+        factor.observe(seconds, usual, pace);
+        rates.apply(engine);
+    }
+
     /// Takes over the services of a configuration.
     pub fn configure(&mut self, services: &BTreeMap<ServiceId, ServiceConfig>, rule: PrefixRule) {
         self.caches.configure(services, rule);
--- a/node/src/ports/announcement.rs
+++ b/node/src/ports/announcement.rs
@@ -13,6 +13,8 @@
     pub leaving: bool,
     /// How long it wants no requests from this instance.
     pub hold: Option<Duration>,
+    /// How long work takes there at this moment, relative to its usual time.
+    pub pace: Option<f64>,
 }
 
 /// Receives what targets say of themselves in their answers.
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -18,6 +18,7 @@
 mod request;
 mod resume;
 mod send;
+mod speed;
 mod stream_origin;
 mod task;
 
--- a/node/src/run/prefill.rs
+++ b/node/src/run/prefill.rs
@@ -5,7 +5,10 @@
         in_flight::InFlightGuard,
         task::MIN_RATE_TOKENS,
     },
-    crate::ports::EngineError,
+    crate::{
+        app::WorkKind,
+        ports::{EngineError, Target},
+    },
     lentil_core::gate::SendKind,
     std::time::Duration,
 };
@@ -39,6 +42,7 @@
                 // An assumed hit may have been none, and then the engine read more.
                 if idle && !self.choice.assumed {
                     self.observe_prefill_rate(elapsed);
+                    self.observe_prefill_speed(&target, elapsed);
                 }
                 let id = self.task.request.log_id(&self.run);
                 let (tokens, ms) = (self.choice.prefill_tokens, elapsed.as_millis());
@@ -61,6 +65,18 @@
         }
     }
 
+    /// Learns the target's lasting prefill speed from a prompt measured on an idle engine.
+    fn observe_prefill_speed(&self, target: &Target, elapsed: Duration) {
+        let tokens = self.choice.prefill_tokens;
+        if tokens < MIN_RATE_TOKENS {
+            return;
+        }
+        let (seconds, now) = (elapsed.as_secs_f64() / tokens.0 as f64, self.task.app.now());
+        let mut fleet = self.task.app.fleet();
+        let Some(pace) = fleet.engine(&target.id).map(|e| e.pace.at(now)) else { return };
+        fleet.record_speed(&target.id, WorkKind::Prefill, seconds, pace);
+    }
+
     /// Records the prefill rate measured on an idle engine; short prompts are ignored.
     fn observe_prefill_rate(&self, elapsed: Duration) {
         let tokens = self.choice.prefill_tokens.0 as f64;
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -89,6 +89,9 @@
                 .fleet()
                 .update_rates(&request.routing.model, |rates| rates.service_time.observe(elapsed));
         }
+        if good {
+            self.observe_speed();
+        }
     }
 }
 
