--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -142,6 +142,9 @@
             }
         };
         let prefill_tokens = routing.prompt - pick.hit;
+        let prefiller = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
+        let (weighed, prefill_pace) = (prefiller.kv.is_some(), prefiller.pace.at(now));
+        let decode_pace = fleet.engines[pick.decode].pace.at(now);
         let assumed = pick.assumed;
         let fetch_from = pick.fetch.map(|i| Target::from_view(&fleet.engines[i]));
         if self.request.proxied.is_some() {
@@ -168,7 +171,7 @@
         if let Some(proxied) = &self.request.proxied {
             let prefill_id = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} assumed={assumed} fetch={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} assumed={assumed} fetch={} first_ms={} wait_ms={} weighed={weighed} pace={decode_pace:.2} prefill_pace={prefill_pace:.2}",
                 proxied.request.id,
                 routing.rank,
                 proxied.version,
