--- a/core/src/fleet/mod.rs
+++ b/core/src/fleet/mod.rs
@@ -16,11 +16,14 @@
 mod running_mean;
 mod software_history;
 mod target_notices;
+mod target_pace;
+mod target_speed;
 
 pub use {
     availability::*, cache::*, engine::*, held_prefixes::*, in_flight::*, kv_cache::*,
     kv_caches::*, load::*, missing_targets::*, prefix::*, prefix_locations::*, queued_tokens::*,
-    registration::*, running_mean::*, software_history::*, target_notices::*,
+    registration::*, running_mean::*, software_history::*, target_notices::*, target_pace::*,
+    target_speed::*,
 };
 
 #[cfg(test)]
