Scaling: no more room for bursts than the first fleet has, removal does not wait for roles

Change: room for bursts is limited to the number of targets when the scaler began; only work that is there adds more. Removal is bounded by what each role needs for the present work, as before, and no longer waits until both roles have room for bursts.

--- a/core/src/plan/scaler.rs
+++ b/core/src/plan/scaler.rs
@@ -50,6 +50,9 @@
     need: Need,
     /// Prefilling engines when the scaler began: engines that only cache are not added to them.
     first_prefill: Option<u32>,
+    /// Targets when the scaler began. More are added only for work that they can't do: room for bursts
+    /// and caches beyond them was not asked for.
+    first: Option<u32>,
     /// Since when a role has fewer targets than needed.
     short_since: Option<Time>,
     last_order: Option<Time>,
@@ -67,6 +70,7 @@
             layout: ZoneCounts::new(),
             need: Need::default(),
             first_prefill: None,
+            first: None,
             short_since: None,
             last_order: None,
             last_removal: None,
@@ -91,6 +95,7 @@
         if !input.may_order || self.meter.warming_up(now) || input.config.prices.is_empty() {
             return None;
         }
+        self.first.get_or_insert(serving.total());
         self.first_prefill.get_or_insert(serving.prefill);
         self.observe(input, now);
         self.need = self.measure_need(input, serving);
@@ -198,15 +203,17 @@
         let fewest =
             PerRole { prefill: if input.engines { MIN_PER_ROLE } else { 0 }, decode: MIN_PER_ROLE };
         let growth = serving.map(|n| (f64::from(n.max(MIN_PER_ROLE)) * MAX_GROWTH).ceil() as u32);
+        let first = self.first.unwrap_or(0);
         let caching = input.caching.min(self.first_prefill.unwrap_or(0));
-        let bounded = |need: PerRole<u32>| {
+        let bounded = |need: PerRole<u32>, peak: PerRole<u32>| {
+            let need = limit_room(need, peak, first);
             let mut need = need.zip(growth, u32::min).zip(fewest, u32::max);
             need.prefill = need.prefill.max(caching);
             need
         };
         Need {
-            now: bounded(self.meter.need()),
-            held: bounded(self.meter.held_need()),
+            now: bounded(self.meter.need(), self.meter.peak()),
+            held: bounded(self.meter.held_need(), self.meter.held_peak()),
             least: self.meter.least().zip(growth, u32::min).zip(fewest, u32::max),
         }
     }
@@ -313,14 +320,8 @@
         });
         let fast = self.meter.fast();
         let used = fast.zip(serving, |busy, n| busy / f64::from(n.max(1)));
-        let short = self.is_short(serving);
         let early = !input.may_remove || !self.meter.period_seen(now);
-        if early
-            || recent
-            || pending
-            || short
-            || used.prefill.max(used.decode) > MAX_REMOVAL_UTILIZATION
-        {
+        if early || recent || pending || used.prefill.max(used.decode) > MAX_REMOVAL_UTILIZATION {
             return None;
         }
         // The platform may remove engines of one role only; role changes then restore the split.
@@ -364,3 +365,15 @@
         Some(ScalingOrder { zone: zone.clone(), kind, from, to, why: ScalingReason::Surplus })
     }
 }
+
+/// Reduces the room for bursts so that no more than `most` targets are needed, or those that the
+/// present work needs.
+fn limit_room(need: PerRole<u32>, peak: PerRole<u32>, most: u32) -> PerRole<u32> {
+    let room = need.total().saturating_sub(peak.total());
+    let allowed = most.saturating_sub(peak.total());
+    if room <= allowed {
+        return need;
+    }
+    let part = f64::from(allowed) / f64::from(room);
+    need.zip(peak, |need, peak| peak + (f64::from(need.saturating_sub(peak)) * part).floor() as u32)
+}
--- a/core/src/plan/scaling_load.rs
+++ b/core/src/plan/scaling_load.rs
@@ -40,7 +40,8 @@
     /// When there was work for the first time.
     started: Option<Time>,
     updated_at: Time,
-    samples: VecDeque<(Time, PerRole<u32>)>,
+    /// Needs, and the part of them that is not room for bursts.
+    samples: VecDeque<(Time, [PerRole<u32>; 2])>,
 }
 
 impl LoadMeter {
@@ -103,16 +104,25 @@
     /// assert_eq!(meter.need().decode, 19);
     /// ```
     pub fn need(&self) -> PerRole<u32> {
-        self.slow.zip(self.fast, |slow, fast| {
-            let need = (slow * BURST_FACTOR / BURST_UTILIZATION).max(fast / PEAK_UTILIZATION);
-            need.ceil() as u32
-        })
+        let burst = |slow: f64| (slow * BURST_FACTOR / BURST_UTILIZATION).ceil() as u32;
+        self.slow.map(burst).zip(self.peak(), u32::max)
+    }
+
+    /// Returns the number of targets that serve the work of the last second.
+    pub fn peak(&self) -> PerRole<u32> {
+        self.fast.map(|fast| (fast / PEAK_UTILIZATION).ceil() as u32)
     }
 
     /// Returns the largest need of the last [`HOLD`].
     pub fn held_need(&self) -> PerRole<u32> {
-        let samples = self.samples.iter().map(|(_, need)| *need);
-        samples.fold(self.need(), |max, need| max.zip(need, u32::max))
+        let needs = self.samples.iter().map(|(_, [need, _])| *need);
+        needs.fold(self.need(), |max, need| max.zip(need, u32::max))
+    }
+
+    /// Returns the largest [`Self::peak`] of the last [`HOLD`].
+    pub fn held_peak(&self) -> PerRole<u32> {
+        let peaks = self.samples.iter().map(|(_, [_, peak])| *peak);
+        peaks.fold(self.peak(), |max, peak| max.zip(peak, u32::max))
     }
 
     /// Returns the number of targets below which the objectives suffer without any burst.
@@ -121,10 +131,12 @@
     }
 
     fn sample(&mut self, now: Time) {
-        let need = self.need();
+        let latest = [self.need(), self.peak()];
         match self.samples.back_mut() {
-            Some((at, last)) if now - *at < SAMPLE_INTERVAL => *last = last.zip(need, u32::max),
-            _ => self.samples.push_back((now, need)),
+            Some((at, last)) if now - *at < SAMPLE_INTERVAL => {
+                *last = [0, 1].map(|i| last[i].zip(latest[i], u32::max));
+            }
+            _ => self.samples.push_back((now, latest)),
         }
         while self.samples.front().is_some_and(|(at, _)| now - *at > HOLD) {
             self.samples.pop_front();
