Scaling: a tenth of the targets is removed at a time again

Faster removal costs callers what it saves: engines that leave take their caches along. core/tests/scaling.rs passes, 17 of 17.

--- a/core/src/plan/scaler.rs
+++ b/core/src/plan/scaler.rs
@@ -14,9 +14,9 @@
 const ORDER_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest interval between two orders that remove targets: removed ones drain, and the load of the
 /// others, whose caches miss more prompts, has to show.
-const REMOVAL_INTERVAL: Duration = Duration::from_millis(2_000);
+const REMOVAL_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Largest part of the targets that one order removes.
-const REMOVAL_SHARE: f64 = 0.25;
+const REMOVAL_SHARE: f64 = 0.1;
 /// Share of the needed targets by which there may be more, so that small changes of the need cause
 /// no orders.
 const SURPLUS_MARGIN: f64 = 0.06;
