Pace of targets and weighed prefixes only where they gain

Change: hosted.prefixes = auto weighs services that are ordered by demand, no longer all whose targets announce a pace; the pace of model engines is not recorded.

--- a/core/src/fleet/kv_caches.rs
+++ b/core/src/fleet/kv_caches.rs
@@ -5,7 +5,7 @@
         routes::ServiceConfig,
         settings::PrefixRule,
     },
-    std::collections::{BTreeMap, HashMap, HashSet},
+    std::collections::{BTreeMap, HashMap},
 };
 
 /// KV caches of the services for which the reuse of a cached prefix is weighed against the wait.
@@ -14,8 +14,6 @@
     rule: PrefixRule,
     /// Services with a complete configuration, and whether their targets are ordered by demand.
     configured: HashMap<ModelId, (KvCache, bool)>,
-    /// Services whose targets announce their pace.
-    paced: HashSet<ModelId>,
 }
 
 impl KvCaches {
@@ -28,16 +26,11 @@
         (self.rule, self.configured) = (rule, configured.collect());
     }
 
-    /// Records that a target of a service announces its pace; returns whether that is new.
-    pub fn record_paced(&mut self, service: &ModelId) -> bool {
-        !self.paced.contains(service) && self.paced.insert(service.clone())
-    }
-
     /// Returns the KV cache of a service's engines, if cached prefixes are weighed there.
     pub fn of(&self, service: &ModelId) -> Option<KvCache> {
         let (cache, scaled) = self.configured.get(service)?;
         let weighed = match self.rule {
-            PrefixRule::Auto => *scaled || self.paced.contains(service),
+            PrefixRule::Auto => *scaled,
             PrefixRule::Weighed => true,
             PrefixRule::Fixed => false,
         };
--- a/core/src/settings/prefix_rule.rs
+++ b/core/src/settings/prefix_rule.rs
@@ -6,7 +6,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum PrefixRule {
-    /// Services whose targets announce their pace or are ordered by demand.
+    /// Services whose targets are ordered by demand.
     #[default]
     Auto,
     /// All services.
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -46,6 +46,10 @@
     learned: HashMap<ModelId, LearnedRates>,
     /// KV caches of the services whose cached prefixes are weighed against the wait.
     caches: KvCaches,
+    /// Services whose targets are model engines.
+    engine_services: HashSet<ModelId>,
+    /// Services whose targets announce their pace.
+    paced: HashSet<ModelId>,
 }
 
 /// Rates of a service's targets, learned from their answers.
@@ -246,14 +250,16 @@
         self.engines.iter_mut().filter(|e| e.model == *service).for_each(|e| rates.apply(e));
     }
 
-    /// Records the pace that a target's process announced in an answer.
+    /// Records the pace that a target's process announced in an answer. That of model engines is not
+    /// used: in the choice of engines it made more long prompts late.
     pub fn record_pace(&mut self, id: &EngineId, boot: Incarnation, pace: f64, now: Time) {
         let engine = self.engines.iter_mut().find(|e| e.id == *id && e.boot == boot);
-        let Some(engine) = engine else { return };
+        let Some(engine) = engine.filter(|e| !self.engine_services.contains(&e.model)) else {
+            return;
+        };
         engine.pace.record(pace, now);
-        if self.caches.record_paced(&engine.model) {
+        if self.paced.insert(engine.model.clone()) {
             log::info!("pace: service={} announced by target={id}", engine.model);
-            self.apply_caches();
         }
     }
 
@@ -277,6 +283,8 @@
     /// Takes over the services of a configuration.
     pub fn configure(&mut self, services: &BTreeMap<ServiceId, ServiceConfig>, rule: PrefixRule) {
         self.caches.configure(services, rule);
+        let engines = services.iter().filter(|(_, service)| service.engine.is_some());
+        self.engine_services = engines.filter_map(|(id, _)| id.as_str().parse().ok()).collect();
         self.apply_caches();
     }
 
