--- a/core/src/fleet/engine.rs
+++ b/core/src/fleet/engine.rs
@@ -1,10 +1,13 @@
 use {
-    super::{Availability, LoadView, Notice, Registration},
+    super::{
+        Availability, HeldPrefixes, KvCache, LoadView, Notice, PrefixProgress, Registration,
+        TargetPace, TargetSpeed,
+    },
     crate::{
         clock::Time,
         ids::{
-            AdapterId, EngineId, Incarnation, ModelId, Region, SoftwareVersion, TokenRate, Tokens,
-            Zone,
+            AdapterId, EngineId, Incarnation, Millis, ModelId, PrefixHash, Region, SoftwareVersion,
+            TokenRate, Tokens, Zone,
         },
         limit::{AnnouncedLimit, Breaker, LocalSchedule, PermitSchedule},
         manifest::{EngineRates, EngineSpec, Role},
@@ -52,6 +55,14 @@
     pub adapters: SmallVec<[AdapterId; 4]>,
     /// Estimate of its load.
     pub load: LoadView,
+    /// Its pace at the moment, if it announces one.
+    pub pace: TargetPace,
+    /// Its lasting speed; learned only if it announces its pace.
+    pub speed: TargetSpeed,
+    /// Its KV cache, if cached prefixes of its service are weighed against the wait.
+    pub kv: Option<KvCache>,
+    /// Shared prefixes in its memory; recorded only if `kv` is known.
+    pub held_prefixes: HeldPrefixes,
     /// Circuit breaker that stops requests to it while it fails.
     pub breaker: Breaker,
     /// Rate limit that it announces in its answers.
@@ -70,6 +81,10 @@
     pub unavailable: bool,
     /// When it last completed an answer for this instance.
     pub last_answer: Time,
+    /// Whether the platform may reclaim it; `None` while this is not known.
+    pub spot: Option<bool>,
+    /// Time until it is reclaimed, as of its latest registration.
+    pub leaves: Option<Millis>,
 }
 
 impl EngineView {
@@ -88,12 +103,18 @@
             boot: Incarnation(0),
             adapters: SmallVec::new(),
             load: LoadView::default(),
+            pace: TargetPace::default(),
+            speed: TargetSpeed::default(),
+            kv: None,
+            held_prefixes: HeldPrefixes::default(),
             breaker: Breaker::default(),
             limit: AnnouncedLimit::default(),
             permits: PermitSchedule::default(),
             unpermitted: LocalSchedule::default(),
             held: Time::ZERO,
             last_answer: Time::ZERO,
+            spot: Some(false),
+            leaves: None,
             leaving: false,
             draining: false,
             unavailable: false,
@@ -122,12 +143,18 @@
             boot: target.boot,
             adapters: SmallVec::new(),
             load: LoadView::from_in_flight(),
+            pace: TargetPace::default(),
+            speed: TargetSpeed::default(),
+            kv: None,
+            held_prefixes: HeldPrefixes::default(),
             breaker: Breaker::default(),
             limit: AnnouncedLimit::default(),
             permits: PermitSchedule::default(),
             unpermitted: LocalSchedule::default(),
             held: Time::ZERO,
             last_answer: Time::ZERO,
+            spot: target.spot,
+            leaves: target.leaves,
             leaving: target.leaving,
             draining: false,
             unavailable: false,
@@ -180,6 +207,20 @@
         !self.leaving && !self.unavailable && !self.is_held(now)
     }
 
+    /// Records that a prompt with a shared prefix was sent to the engine, or that the prefix is in
+    /// its memory, if its KV cache is known.
+    pub fn record_prefix(
+        &mut self,
+        prefix: PrefixHash,
+        progress: PrefixProgress,
+        tokens: Option<Tokens>,
+        now: Time,
+    ) {
+        if self.kv.is_some() {
+            self.held_prefixes.record(prefix, progress, tokens, now);
+        }
+    }
+
     /// Takes over what this incarnation, or a later one, has said of itself.
     pub fn apply_notice(&mut self, notice: Notice) {
         self.leaving |= notice.leaving;
--- a/core/src/plan/role_balancer.rs
+++ b/core/src/plan/role_balancer.rs
@@ -22,7 +22,7 @@
 const REVERSAL_DELAY: Duration = Duration::from_secs(20);
 /// Fewest decoding engines if there are others: with a single one, the service stops for seconds when
 /// that one leaves.
-const MIN_DECODING: usize = 2;
+pub const MIN_DECODING: usize = 2;
 /// Share of the engines that may be out of service for a role change at the same time.
 const MAX_UNAVAILABLE_SHARE: f64 = 0.2;
 
@@ -137,6 +137,17 @@
         Some(role)
     }
 
+    /// Returns whether an engine may change to `role` now: the last change in the opposite direction is
+    /// long enough ago.
+    pub fn allows(&self, role: Role, now: Time) -> bool {
+        self.change_allowed(role, now)
+    }
+
+    /// Records a change that was decided elsewhere.
+    pub fn record_change(&mut self, role: Role, now: Time) {
+        self.last_change = Some((role, now));
+    }
+
     /// Returns the role for which another engine is worthwhile.
     fn role_to_extend(&self, split: Split) -> Option<Role> {
         let busier = self.mean.max_role();
--- a/core/tests/extensions.rs
+++ b/core/tests/extensions.rs
@@ -25,6 +25,8 @@
             windows: vec![WindowCounts { window: 353_445_120, counts }],
             part: 0,
             parts: 1,
+            holder: Some(4),
+            next: Some(353_445_121),
         }),
         Extension::TargetPace(TargetPace {
             entries: vec![PaceEntry { target: "e7".into(), pace: 250, age_ms: 40 }],
--- a/daemon/tests/extensions.rs
+++ b/daemon/tests/extensions.rs
@@ -9,6 +9,7 @@
     lentil_node::{
         app::App,
         mesh::{broadcast_extension, send_extension},
+        queries::status,
     },
 };
 
@@ -54,6 +55,41 @@
     a.peer_versions.record(id, announced);
     assert!(!send_extension(a, address, id, pace()).await);
     assert_eq!(extensions(a, "omitted"), 2.0);
+    let builds = status(a).builds;
+    assert_eq!(builds.len(), 2);
+    let own = builds.iter().find(|build| build.instance == a.identity.instance).unwrap();
+    assert_eq!(own.versions, Some(VersionRange::OWN));
+    let other = builds.iter().find(|build| build.instance == *id).unwrap();
+    assert_eq!((&other.build, other.versions), (&None, Some(VersionRange::UNANNOUNCED)));
     let unknown = "someone-else".parse().unwrap();
     assert!(!send_extension(a, address, &unknown, pace()).await);
 }
+
+/// Guards against a guarantee that needs a message of version 2 while a member runs an older build:
+/// instances that announce nothing find each other, follow the manifest and are ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_without_announcements_follow_the_manifest() {
+    let deployment = Deployment::start(DeploymentSetup::default()).await;
+    let first = deployment.apply_manifest(Revision(0)).await;
+    let instances = deployment.start_instances(2).await;
+    let apps: Vec<&App> = instances.iter().map(|i| &*i.app).collect();
+    eventually("both are members and have announced themselves", || {
+        let announced = |app: &&App| app.peer_versions.all().len() == 1;
+        apps.iter().all(|app| announced(app) && app.member_view().live().count() == 1)
+    })
+    .await;
+    for app in &apps {
+        for (id, announced) in app.peer_versions.all() {
+            let versions = VersionRange::UNANNOUNCED;
+            app.peer_versions.record(&id, Announcement { versions, ..announced });
+        }
+    }
+    let second = deployment.apply_manifest(first).await;
+    eventually("both follow the manifest", || apps.iter().all(|app| app.revision() == second))
+        .await;
+    for app in &apps {
+        assert_eq!(broadcast_extension(app, &pace()).await, 0);
+        assert!(app.ready());
+        assert_eq!(app.member_view().live().count(), 1);
+    }
+}
--- a/node/src/app/fleet.rs
+++ b/node/src/app/fleet.rs
@@ -1,16 +1,18 @@
 use {
     lentil_core::{
         clock::Time,
-        fleet::{EngineView, Registration, RunningMean, SoftwareHistory, TargetNotices},
+        fleet::{EngineView, KvCaches, Registration, RunningMean, SoftwareHistory, TargetNotices},
         ids::{
             EngineId, Incarnation, ModelId, ServiceId, SoftwareVersion, TargetId, TokenRate, Zone,
         },
         limit::Breaker,
         manifest::{Manifest, Role},
+        routes::ServiceConfig,
+        settings::PrefixRule,
     },
     smallvec::SmallVec,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -35,10 +37,19 @@
     pub last_read: Time,
     /// Software versions of targets that are gone.
     pub software: SoftwareHistory,
+    /// Whether all targets are to be read from the directory, since something of them is not known
+    /// that other instances do not relay.
+    pub read_wanted: bool,
     /// What targets said of themselves in their answers.
     notices: TargetNotices,
     pauses: HashMap<EngineId, Pause>,
     learned: HashMap<ModelId, LearnedRates>,
+    /// KV caches of the services whose cached prefixes are weighed against the wait.
+    caches: KvCaches,
+    /// Services whose targets are model engines.
+    engine_services: HashSet<ModelId>,
+    /// Services whose targets announce their pace.
+    paced: HashSet<ModelId>,
 }
 
 /// Rates of a service's targets, learned from their answers.
@@ -48,6 +59,21 @@
     pub prefill: RunningMean,
     /// Seconds that a plain request occupies a slot.
     pub service_time: RunningMean,
+    /// Tokens that a long prompt shares with others.
+    pub shared_tokens: RunningMean,
+    /// Seconds between two tokens of a stream; learned only of targets that announce their pace.
+    pub token_interval: RunningMean,
+}
+
+/// Kind of work by which the lasting speed of a target is learned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Prefill of a prompt; its unit is a token.
+    Prefill,
+    /// Decoding of a stream; its unit is a token.
+    Decode,
+    /// A plain request.
+    Plain,
 }
 
 /// Current state of a plain service's target, as known to this instance.
@@ -74,13 +100,21 @@
 
 impl LearnedRates {
     fn apply(&self, engine: &mut EngineView) {
+        // The factors are 1 for targets that announce no pace.
+        let speed = engine.speed;
         if let Some(prefill) = self.prefill.mean() {
-            engine.rates.prefill = TokenRate(prefill.max(1.0));
+            engine.rates.prefill = TokenRate((prefill / speed.prefill.get()).max(1.0));
         }
+        let slots = f64::from(engine.rates.slots);
         if let Some(seconds) = self.service_time.mean() {
             // A plain request counts as one token.
-            let slots = f64::from(engine.rates.slots);
+            let seconds = seconds * speed.plain.get();
             engine.rates.decode = TokenRate(slots / seconds.max(1e-3));
+        } else if let Some(seconds) = self.token_interval.mean() {
+            if engine.pace.is_announced() {
+                let seconds = seconds * speed.decode.get();
+                engine.rates.decode = TokenRate(slots / seconds.max(1e-3));
+            }
         }
     }
 }
@@ -115,7 +149,8 @@
         let settled =
             self.software.settles_at(&self.engines, &target.service, &target.software, now);
         let Some(engine) = self.engines.iter_mut().find(|e| e.id == target.id) else {
-            let mut engine = EngineView { settled, ..EngineView::from_registration(target) };
+            let kv = self.caches.of(&target.service);
+            let mut engine = EngineView { settled, kv, ..EngineView::from_registration(target) };
             learned.apply(&mut engine);
             self.notices
                 .of(&engine.id, engine.boot)
@@ -128,7 +163,8 @@
         let restarted = engine.boot != target.boot || software != Some(&target.software);
         if restarted || engine.address != target.address {
             self.software.record_gone(engine, now);
-            *engine = EngineView { settled, ..EngineView::from_registration(target) };
+            let kv = self.caches.of(&target.service);
+            *engine = EngineView { settled, kv, ..EngineView::from_registration(target) };
             learned.apply(engine);
             self.notices
                 .of(&engine.id, engine.boot)
@@ -142,6 +178,8 @@
         engine.leaving = leaving;
         engine.role = target.role;
         engine.model = target.service.clone();
+        engine.spot = target.spot.or(engine.spot);
+        engine.leaves = target.leaves.or(engine.leaves);
         changed
     }
 
@@ -199,6 +237,11 @@
         self.software.sole(&self.engines, service, now)
     }
 
+    /// Returns what is learned of a service's targets.
+    pub fn learned_rates(&self, service: &ModelId) -> LearnedRates {
+        self.learned.get(service).copied().unwrap_or_default()
+    }
+
     /// Updates the learned rates of a service, and applies them to all its targets.
     pub fn update_rates(&mut self, service: &ModelId, observe: impl FnOnce(&mut LearnedRates)) {
         let rates = self.learned.entry(service.clone()).or_default();
@@ -207,6 +250,50 @@
         self.engines.iter_mut().filter(|e| e.model == *service).for_each(|e| rates.apply(e));
     }
 
+    /// Records the pace that a target's process announced in an answer. That of model engines is not
+    /// used: in the choice of engines it made more long prompts late.
+    pub fn record_pace(&mut self, id: &EngineId, boot: Incarnation, pace: f64, now: Time) {
+        let engine = self.engines.iter_mut().find(|e| e.id == *id && e.boot == boot);
+        let Some(engine) = engine.filter(|e| !self.engine_services.contains(&e.model)) else {
+            return;
+        };
+        engine.pace.record(pace, now);
+        if self.paced.insert(engine.model.clone()) {
+            log::info!("pace: service={} announced by target={id}", engine.model);
+        }
+    }
+
+    /// Learns the lasting speed of a target from work that took `seconds` per unit at `pace`, if the
+    /// target announces its pace. The mean of its service is updated before.
+    pub fn record_speed(&mut self, id: &EngineId, kind: WorkKind, seconds: f64, pace: f64) {
+        let Some(engine) = self.engines.iter_mut().find(|e| e.id == *id) else { return };
+        let rates = self.learned.get(&engine.model).copied().unwrap_or_default();
+        let (usual, factor) = match kind {
+            WorkKind::Prefill => {
+                (rates.prefill.mean().map(|rate| 1.0 / rate), &mut engine.speed.prefill)
+            }
+            WorkKind::Decode => (rates.token_interval.mean(), &mut engine.speed.decode),
+            WorkKind::Plain => (rates.service_time.mean(), &mut engine.speed.plain),
+        };
+        let Some(usual) = usual.filter(|_| engine.pace.is_announced()) else { return };
+        factor.observe(seconds, usual, pace);
+        rates.apply(engine);
+    }
+
+    /// Takes over the services of a configuration.
+    pub fn configure(&mut self, services: &BTreeMap<ServiceId, ServiceConfig>, rule: PrefixRule) {
+        self.caches.configure(services, rule);
+        let engines = services.iter().filter(|(_, service)| service.engine.is_some());
+        self.engine_services = engines.filter_map(|(id, _)| id.as_str().parse().ok()).collect();
+        self.apply_caches();
+    }
+
+    fn apply_caches(&mut self) {
+        for engine in self.engines.iter_mut().filter(|e| e.software.is_some()) {
+            engine.kv = self.caches.of(&engine.model);
+        }
+    }
+
     fn apply_targets(&mut self, manifest: &Manifest) {
         let mut known = std::mem::take(&mut self.targets);
         for (service, spec) in &manifest.services {
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -15,12 +15,16 @@
     crate::{
         claims::ClaimStore,
         control::CellLeases,
-        mesh::{FrameCodec, PeerVersions, Questions},
+        mesh::{FrameCodec, PeerVersions, Questions, Refusals},
         metrics::Metrics,
-        ports::{ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore},
+        ports::{
+            ConfigStore, Engine, InstanceList, PlainService, PlatformApi, WeightStore,
+            WorkspaceHeaders,
+        },
         reach::ReachChecks,
         relay::RelayLinks,
         run::Investigations,
+        usage::Usage,
     },
     lentil_core::{
         clock::Time,
@@ -33,7 +37,7 @@
         order::Holder,
         poison::Quarantine,
         reach::ReachTable,
-        routes::RouteTable,
+        routes::{RouteTable, TableFreshness},
         settings::Settings,
         stream::StreamOrigins,
     },
@@ -61,6 +65,8 @@
     pub services: Arc<dyn PlainService>,
     /// Client of the platform's API, if the platform has one.
     pub api: Option<Arc<dyn PlatformApi>>,
+    /// Headers that carry keys and workspaces, if the platform has them.
+    pub workspaces: Option<Arc<dyn WorkspaceHeaders>>,
 }
 
 /// Stage of an instance between start and stop.
@@ -93,6 +99,8 @@
     pub claims: ClaimStore,
     /// Authenticates frames sent to and received from other instances.
     pub frame_codec: FrameCodec,
+    /// Refused datagrams that were logged.
+    pub refusals: Refusals,
     /// Builds and protocol versions that other instances announced.
     pub peer_versions: PeerVersions,
     /// Questions to other instances that wait for an answer.
@@ -109,6 +117,7 @@
     pub relayed_targets: watch::Sender<Arc<Vec<TargetBatch>>>,
     manifest: RwLock<Option<ActiveManifest>>,
     routes: RwLock<Option<Arc<RouteTable>>>,
+    table_freshness: Mutex<TableFreshness>,
     member_view: Mutex<MemberView>,
     fleet: Mutex<Fleet>,
     cache_index: Mutex<CacheIndex>,
@@ -134,6 +143,7 @@
     reach: Mutex<ReachTable>,
     reach_checks: Mutex<ReachChecks>,
     holders: Mutex<Holders>,
+    usage: Option<Mutex<Usage>>,
     /// Greatest manifest revision reported by any instance.
     latest_revision: Mutex<Revision>,
 }
@@ -174,11 +184,13 @@
             phase: watch::Sender::new(Phase::Serving),
             relayed_targets: watch::Sender::default(),
             frame_codec: FrameCodec::default(),
+            refusals: Refusals::default(),
             peer_versions: PeerVersions::default(),
             socket: OnceLock::new(),
             cell_leases: CellLeases::default(),
             manifest: RwLock::default(),
             routes: RwLock::default(),
+            table_freshness: Mutex::default(),
             fleet: Mutex::default(),
             cache_index: Mutex::default(),
             quarantine_found: Notify::new(),
@@ -196,6 +208,7 @@
             reach: Mutex::default(),
             reach_checks: Mutex::default(),
             holders: Mutex::default(),
+            usage: Usage::new(&settings, &clock).map(Mutex::new),
             latest_revision: Mutex::default(),
             settings,
             identity,
@@ -286,6 +299,12 @@
         lock(&self.holders)
     }
 
+    /// Locks the state of the usage reports; `None` if usage is not reported. No other lock is taken
+    /// meanwhile.
+    pub fn usage(&self) -> Option<MutexGuard<'_, Usage>> {
+        self.usage.as_ref().map(lock)
+    }
+
     /// Returns the active manifest, with its look-up tables.
     ///
     /// # Errors
@@ -332,14 +351,24 @@
         routes.ok_or_else(|| Fault::new(ErrorKind::NotReady, "no routes are known yet"))
     }
 
+    /// Locks the knowledge of how current the routes are. No other lock is taken meanwhile.
+    pub fn table_freshness(&self) -> MutexGuard<'_, TableFreshness> {
+        lock(&self.table_freshness)
+    }
+
     /// Activates routes if they are newer than the current ones; returns whether they were.
     pub fn activate_routes(&self, table: RouteTable) -> bool {
-        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-        if routes.as_ref().is_some_and(|r| r.version >= table.version) {
-            return false;
+        let table = Arc::new(table);
+        {
+            let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+            if routes.as_ref().is_some_and(|r| r.version >= table.version) {
+                return false;
+            }
+            *routes = Some(table.clone());
         }
         self.metrics.revision.set(table.version.0 as i64);
-        *routes = Some(Arc::new(table));
+        let rule = self.settings.hosted.as_ref().map_or_else(Default::default, |h| h.prefixes);
+        self.fleet().configure(&table.services, rule);
         true
     }
 
--- a/node/src/control/held_cell.rs
+++ b/node/src/control/held_cell.rs
@@ -8,7 +8,7 @@
         ports::{StoreEntry, StoreError},
     },
     lentil_core::{
-        ids::{CellId, LeaseId, Revision},
+        ids::{CellId, Fence, LeaseId, Revision},
         order::{Lease, Ledger},
     },
     std::{sync::Arc, time::Duration},
@@ -19,39 +19,58 @@
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// A cell that this instance holds, with a copy of its ledger in the store.
-pub(super) struct HeldCell {
+pub(crate) struct HeldCell {
     pub cell: CellId,
     pub cell_lease: Arc<CellLease>,
     pub ledger: Ledger,
+    /// Number of the take-over, which identifies this holder in calls to the platform's API. The
+    /// ledger's number grows with each order, so that of the next take-over is greater.
+    pub fence: Fence,
     revision: Revision,
 }
 
 impl HeldCell {
     /// Tries to acquire a cell; returns `None` if another instance holds it.
     pub(super) async fn acquire(app: &App, cell: &CellId) -> Result<Option<Self>, StoreError> {
+        let settings = &app.settings.control;
+        let (ttl, margin) = (settings.lease.duration(), settings.margin.duration());
+        Self::acquire_for(app, cell, ttl, margin).await
+    }
+
+    /// Tries to acquire a cell by a lease with this time to live and margin; returns `None` if
+    /// another instance holds it.
+    pub(crate) async fn acquire_for(
+        app: &App,
+        cell: &CellId,
+        ttl: Duration,
+        margin: Duration,
+    ) -> Result<Option<Self>, StoreError> {
         let store = &app.ports.store;
         count_store_call(app, "holder");
         if store.read(&holder_key(cell)).await?.is_some() {
             return Ok(None);
         }
-        let settings = &app.settings.control;
         let sent = app.now();
         count_store_call(app, "lease");
-        let id = store.grant(settings.lease.duration()).await?;
+        let id = store.grant(ttl).await?;
         if !write_holder(app, cell, id).await? {
             // If the revocation fails, the lease expires by itself.
             let _ = store.revoke(id).await;
             return Ok(None);
         }
-        let (ttl, margin) = (settings.lease.duration(), settings.margin.duration());
         let lease = Lease { id, sent, ttl, margin };
         let cell_lease = app.cell_leases.get(cell);
         while lease.valid(app.now()) {
             let old = read_ledger(app, cell).await?;
             let (old, base) = old.map_or((None, Revision(0)), |(l, r)| (Some(l), r));
             let ledger = Ledger::take_over(old.as_ref(), app.identity.clone(), random_id("w"));
-            let mut held =
-                Self { cell: cell.clone(), cell_lease: cell_lease.clone(), ledger, revision: base };
+            let mut held = Self {
+                cell: cell.clone(),
+                cell_lease: cell_lease.clone(),
+                fence: ledger.number,
+                ledger,
+                revision: base,
+            };
             cell_lease.set(Some(lease));
             match held.save(app).await {
                 Ok(()) => return Ok(Some(held)),
@@ -109,7 +128,7 @@
     ///
     /// After an error the cell stays held until the lease expires, unless the store no longer knows
     /// the lease.
-    pub(super) async fn renew(&self, app: &App) {
+    pub(crate) async fn renew(&self, app: &App) {
         let Some(mut lease) = self.cell_lease.lease().filter(|l| l.renewal_due(app.now())) else {
             return;
         };
@@ -131,17 +150,18 @@
     }
 
     /// Gives up the cell and revokes its lease, so that another instance can acquire it at once.
-    pub(super) async fn release(&self, app: &App) {
+    pub(crate) async fn release(&self, app: &App) {
         let Some(lease) = self.cell_lease.lease() else { return };
         self.cell_lease.set(None);
         let _no_order_in_flight = self.cell_lease.order_lock.lock().await;
+        let _no_call_in_flight = self.cell_lease.api_lock.lock().await;
         count_store_call(app, "lease");
         let _ = app.ports.store.revoke(lease.id).await;
         log::info!("control: released cell {}", self.cell);
     }
 }
 
-fn count_store_call(app: &App, call: &str) {
+pub(super) fn count_store_call(app: &App, call: &str) {
     app.metrics.store_calls.with_label_values(&[call]).inc();
 }
 
--- a/node/src/control/mod.rs
+++ b/node/src/control/mod.rs
@@ -10,11 +10,16 @@
 mod held_cell;
 mod orders;
 mod placement;
+mod scaling;
 mod store_keys;
 
+pub(crate) use held_cell::HeldCell;
 pub use {
     cell_lease::{step_down, CellLease, CellLeases},
     controller::run_controllers,
     demand::report_demand,
     store_keys::{holder_key, ledger_key},
 };
+
+#[cfg(test)]
+mod tests;
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod listen;
 mod peer_versions;
+mod refusals;
 mod request;
 mod send;
 mod streams;
@@ -20,6 +21,7 @@
 pub(crate) use ask::ask;
 use send::broadcast;
 pub(crate) use send::send_datagram;
+pub(crate) use usage_counts::{broadcast_usage, send_usage};
 pub use {
     ask::Questions,
     crash_news::{clear_parts, report_crash, ReportedBy},
@@ -30,6 +32,8 @@
     limits::{announce_limits, request_permit},
     listen::{listen_datagrams, listen_requests},
     peer_versions::PeerVersions,
+    refusals::Refusals,
     request::{request, RequestError},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
+    workspace_use::report_workspace_use,
 };
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of an instance.
 
 use {
-    lentil_core::ids::EngineId,
+    lentil_core::ids::{EngineId, WorkspaceId},
     prometheus::{
         Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
         Opts, Registry, TextEncoder,
@@ -47,7 +47,7 @@
     pub cut_services: IntGauge,
     /// Engines by service, role and availability, as known to this instance.
     pub service_engines: IntGaugeVec,
-    /// Rejected mesh frames by reason.
+    /// Refused mesh frames by reason and version.
     pub refused_frames: IntCounterVec,
     /// Messages of protocol version 2 by message and what became of them.
     extensions: IntCounterVec,
@@ -101,12 +101,30 @@
     pub platform_calls: IntCounterVec,
     /// Cells whose lease this instance holds.
     pub held_cells: IntGauge,
+    /// Calls that report usage, by result; `given_up` counts reports that were never accepted.
+    pub usage_reports: IntCounterVec,
+    /// Requests that are in no usage report, by reason.
+    pub usage_lost: IntCounterVec,
+    /// Whether this instance reports the usage.
+    pub usage_holder: IntGauge,
+    /// Clocks found wrong: `wall` is a wall clock that differs from true time, `estimate` an
+    /// estimate of true time that was corrected.
+    pub wrong_clocks: IntCounterVec,
+    /// Targets of services that are scaled by demand, by service, zone, kind and whether they are
+    /// ordered or registered; set by the holder of the service's cell.
+    pub scaled_targets: IntGaugeVec,
+    /// Orders for targets by result.
+    pub scaling_orders: IntCounterVec,
     /// Resends that this instance may make now, summed over all services.
     pub resends_left: IntGauge,
     /// Resident memory of the process in bytes.
     pub resident_bytes: IntGauge,
     /// Targets with a label of their own in `attempts`.
     labelled: Mutex<BTreeSet<EngineId>>,
+    /// Requests by workspace and what was missed.
+    workspace_requests: IntCounterVec,
+    /// Workspaces with a label of their own in `workspace_requests`.
+    labelled_workspaces: Mutex<BTreeSet<WorkspaceId>>,
     /// Instances with a label of their own in `relayed`.
     labelled_relays: Mutex<BTreeSet<EngineId>>,
 }
@@ -115,16 +133,25 @@
 const MAX_LABELLED_TARGETS: usize = 256;
 /// Label shared by all targets without a label of their own.
 const OTHER_TARGETS: &str = "others";
+/// Limit on workspace labels, besides [`OTHER_WORKSPACES`]; there may be thousands of workspaces.
+const MAX_LABELLED_WORKSPACES: usize = 19;
+/// Label shared by all workspaces without a label of their own.
+const OTHER_WORKSPACES: &str = "other";
 /// Values of the label `end` for attempts on targets.
 const ATTEMPT_ENDS: [&str; 3] = ["answered", "refused", "lost"];
 
-/// Returns the label of a target or instance; those beyond the limit share one.
-fn label<'a>(labelled: &Mutex<BTreeSet<EngineId>>, id: &'a EngineId) -> &'a str {
+/// Returns whether a name has a label of its own; those beyond the limit share one.
+fn has_label<T: Ord + Clone>(labelled: &Mutex<BTreeSet<T>>, id: &T, limit: usize) -> bool {
     let mut labelled = labelled.lock().unwrap_or_else(PoisonError::into_inner);
-    if !labelled.contains(id) && labelled.len() < MAX_LABELLED_TARGETS {
+    if !labelled.contains(id) && labelled.len() < limit {
         labelled.insert(id.clone());
     }
-    if labelled.contains(id) {
+    labelled.contains(id)
+}
+
+/// Returns the label of a target or instance.
+fn label<'a>(labelled: &Mutex<BTreeSet<EngineId>>, id: &'a EngineId) -> &'a str {
+    if has_label(labelled, id, MAX_LABELLED_TARGETS) {
         id.as_str()
     } else {
         OTHER_TARGETS
@@ -204,7 +231,11 @@
                     &["service", "role", "state"],
                 ),
             ),
-            refused_frames: counters("lentil_mesh_refused_total", "Refused frames", &["reason"]),
+            refused_frames: counters(
+                "lentil_mesh_refused_total",
+                "Refused frames",
+                &["reason", "version"],
+            ),
             extensions: counters(
                 "lentil_mesh_extensions_total",
                 "Messages of protocol version 2",
@@ -267,9 +298,43 @@
                 &["call", "result"],
             ),
             held_cells: gauge("lentil_cells_held", "Cells whose engines are ordered from here"),
+            usage_reports: counters(
+                "lentil_usage_reports_total",
+                "Reports of usage by how their call ended",
+                &["end"],
+            ),
+            usage_lost: counters(
+                "lentil_usage_lost_total",
+                "Requests that are in no usage report",
+                &["reason"],
+            ),
+            usage_holder: gauge("lentil_usage_holder", "Whether usage is reported from here"),
+            wrong_clocks: counters(
+                "lentil_wrong_clocks_total",
+                "Times that a clock was found to be wrong",
+                &["clock"],
+            ),
+            scaled_targets: register(
+                &r,
+                IntGaugeVec::new(
+                    Opts::new("lentil_scaled_targets", "Targets ordered by demand"),
+                    &["service", "zone", "kind", "state"],
+                ),
+            ),
+            scaling_orders: counters(
+                "lentil_scaling_orders_total",
+                "Orders for targets by how they ended",
+                &["end"],
+            ),
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
             labelled: Mutex::default(),
+            workspace_requests: counters(
+                "lentil_workspace_requests_total",
+                "Requests by workspace and how they ended",
+                &["workspace", "end"],
+            ),
+            labelled_workspaces: Mutex::default(),
             labelled_relays: Mutex::default(),
             registry: r,
         }
@@ -285,6 +350,14 @@
         self.objectives.with_label_values(&labels).inc();
     }
 
+    /// Counts a finished request of a workspace; `end` is `good`, or says what was missed.
+    pub fn record_workspace_end(&self, workspace: Option<&WorkspaceId>, end: &str) {
+        let Some(id) = workspace else { return };
+        let own = has_label(&self.labelled_workspaces, id, MAX_LABELLED_WORKSPACES);
+        let label = if own { id.as_str() } else { OTHER_WORKSPACES };
+        self.workspace_requests.with_label_values(&[label, end]).inc();
+    }
+
     /// Counts an attempt on a target: `answered`, `refused` or `lost`.
     pub fn record_attempt(&self, target: &EngineId, end: &str) {
         let target = label(&self.labelled, target);
@@ -297,6 +370,11 @@
         self.relayed.with_label_values(&[instance, end]).inc();
     }
 
+    /// Counts a refused mesh frame.
+    pub fn count_refused_frame(&self, reason: &str, version: &str) {
+        self.refused_frames.with_label_values(&[reason, version]).inc();
+    }
+
     /// Counts a message of protocol version 2: `sent`, `omitted`, `failed` or `received`.
     pub fn count_extension(&self, message: &str, end: &str) {
         self.extensions.with_label_values(&[message, end]).inc();
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -1,8 +1,12 @@
 use {
-    super::{engine_choice::EngineChoice, task::Task},
+    super::{
+        engine_choice::EngineChoice,
+        prefix::{record_fetch, record_prefix},
+        task::Task,
+    },
     crate::ports::Target,
     lentil_core::{
-        admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience},
+        admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience, ShareRequest},
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, PrefixProgress},
@@ -10,8 +14,9 @@
         manifest::EngineSpec,
         plan,
         poison::{RunPermission, Subject},
-        route::{choose, shared_prefix, Pick, RoutingOrigin, RoutingRequest},
+        route::{choose, Pick, RoutingOrigin, RoutingRequest},
     },
+    std::time::Duration,
 };
 
 impl Task {
@@ -104,11 +109,9 @@
             Some(proxied) if attempts == 0 => {
                 let (left, idle_timeout) =
                     (proxied.deadline - now, proxied.route.idle_timeout.duration());
-                let pick = choose_and_queue(
-                    &mut routing,
-                    CallerPatience { left, idle_timeout },
-                    pick_for,
-                )?;
+                let pick =
+                    choose_and_queue(&mut routing, CallerPatience { left, idle_timeout }, pick_for);
+                let pick = self.admit_share(pick, now)?;
                 self.request.routing.rank = routing.rank;
                 let class = self.request.class.as_str();
                 app.metrics
@@ -138,11 +141,16 @@
             }
         };
         let prefill_tokens = routing.prompt - pick.hit;
+        let prefiller = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
+        let (weighed, prefill_pace) = (prefiller.kv.is_some(), prefiller.pace.at(now));
+        let decode_pace = fleet.engines[pick.decode].pace.at(now);
         let assumed = pick.assumed;
         let fetch_from = pick.fetch.map(|i| Target::from_view(&fleet.engines[i]));
-        if let Some(key) = shared_prefix(&routing).filter(|_| self.request.proxied.is_some()) {
-            let prefiller = &fleet.engines[pick.prefill.unwrap_or(pick.decode)];
-            cache.record_location(key, &prefiller.id, PrefixProgress::Prefilling, now);
+        if self.request.proxied.is_some() {
+            let id = fleet.engines[pick.prefill.unwrap_or(pick.decode)].id.clone();
+            let prefilling = PrefixProgress::Prefilling;
+            record_prefix(&mut fleet, &mut cache, &routing, &id, prefilling, now);
+            record_fetch(&mut fleet.engines, &routing, &pick, now);
         }
         let prefill = pick.prefill.map(|i| {
             let engine = &mut fleet.engines[i];
@@ -162,7 +170,7 @@
         if let Some(proxied) = &self.request.proxied {
             let prefill_id = prefill.as_ref().map_or("-", |t| t.id.as_str());
             log::info!(
-                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} assumed={assumed} fetch={} first_ms={} wait_ms={}",
+                "run: id={} chosen try={attempts} rank={} routes={} targets_age_ms={} decode={} software={:?} prefill={prefill_id} todo={prefill_tokens} hit={} assumed={assumed} fetch={} first_ms={} wait_ms={} weighed={weighed} pace={decode_pace:.2} prefill_pace={prefill_pace:.2}",
                 proxied.request.id,
                 routing.rank,
                 proxied.version,
@@ -199,19 +207,45 @@
         }
     }
 
+    /// Admits or refuses a proxied request by the share of its workspace, if that is known, and
+    /// charges its expected cost to the workspace if admitted. `picked` is the choice by queues.
+    fn admit_share(&mut self, picked: Result<Pick, Fault>, now: Time) -> Result<Pick, Fault> {
+        let request = &self.request;
+        let Some(workspace) = &request.workspace else { return picked };
+        // Engines may be chosen more than once for one attempt, when a send was denied.
+        if std::mem::replace(&mut self.share_checked, true) {
+            return picked;
+        }
+        let routing = &request.routing;
+        let share = ShareRequest {
+            workspace,
+            service: &routing.model,
+            rank: routing.class.rank(),
+            first: routing.class.first.duration(),
+            wait: picked.as_ref().map_or(Duration::ZERO, |pick| pick.queue_wait),
+        };
+        let mut admission = self.app.admission();
+        admission.shares.admit(&share, now)?;
+        let pick = picked?;
+        let cost = pick.end.saturating_sub(pick.queue_wait).as_secs_f64();
+        admission.shares.record_admission(&share, cost, now);
+        Ok(pick)
+    }
+
     /// Admits or refuses the request, and charges its expected cost to the workspace if admitted.
     fn admit(&self, pick: &Pick, now: Time) -> Result<(), Fault> {
         let request = &self.request;
+        let Some(workspace) = &request.workspace else { return Ok(()) };
         let mut admission = self.app.admission();
         let admission_request = AdmissionRequest {
-            workspace: &request.workspace,
+            workspace,
             share: request.share,
             class: &request.routing.class,
             waited: now - request.arrived,
         };
         admit(&admission_request, pick, &admission.usage, now)?;
         let cost = pick.end.as_secs_f64();
-        admission.usage.record_use(&request.workspace, request.share, cost, now);
+        admission.usage.record_use(workspace, request.share, cost, now);
         Ok(())
     }
 }
--- a/node/src/run/mod.rs
+++ b/node/src/run/mod.rs
@@ -12,12 +12,15 @@
 mod permit;
 mod piece;
 mod prefill;
+mod prefix;
 mod proxied;
 mod relay;
 mod request;
 mod resume;
 mod send;
+mod speed;
 mod stream_origin;
 mod task;
+mod usage;
 
 pub use {attempts::start, failure::Investigations, piece::*, request::*, resume::resume};
--- a/node/src/run/prefill.rs
+++ b/node/src/run/prefill.rs
@@ -5,8 +5,11 @@
         in_flight::InFlightGuard,
         task::MIN_RATE_TOKENS,
     },
-    crate::ports::EngineError,
-    lentil_core::gate::SendKind,
+    crate::{
+        app::WorkKind,
+        ports::{EngineError, Target},
+    },
+    lentil_core::{gate::SendKind, route::shared_prefix_tokens},
     std::time::Duration,
 };
 
@@ -35,10 +38,14 @@
                 self.task.record_sign(&target);
                 self.task.record_success(&target);
                 self.task.record_prefix_ready(&target);
+                let shared = shared_prefix_tokens(&self.task.request.routing).0 as f64;
+                let model = &self.task.request.routing.model;
+                app.fleet().update_rates(model, |rates| rates.shared_tokens.observe(shared));
                 let elapsed = app.now() - start;
                 // An assumed hit may have been none, and then the engine read more.
                 if idle && !self.choice.assumed {
                     self.observe_prefill_rate(elapsed);
+                    self.observe_prefill_speed(&target, elapsed);
                 }
                 let id = self.task.request.log_id(&self.run);
                 let (tokens, ms) = (self.choice.prefill_tokens, elapsed.as_millis());
@@ -61,6 +68,18 @@
         }
     }
 
+    /// Learns the target's lasting prefill speed from a prompt measured on an idle engine.
+    fn observe_prefill_speed(&self, target: &Target, elapsed: Duration) {
+        let tokens = self.choice.prefill_tokens;
+        if tokens < MIN_RATE_TOKENS {
+            return;
+        }
+        let (seconds, now) = (elapsed.as_secs_f64() / tokens.0 as f64, self.task.app.now());
+        let mut fleet = self.task.app.fleet();
+        let Some(pace) = fleet.engine(&target.id).map(|e| e.pace.at(now)) else { return };
+        fleet.record_speed(&target.id, WorkKind::Prefill, seconds, pace);
+    }
+
     /// Records the prefill rate measured on an idle engine; short prompts are ignored.
     fn observe_prefill_rate(&self, elapsed: Duration) {
         let tokens = self.choice.prefill_tokens.0 as f64;
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -17,8 +17,8 @@
     pub fingerprint: Fingerprint,
     /// The caller that sent it.
     pub caller: CallerId,
-    /// The workspace whose share it is charged to.
-    pub workspace: WorkspaceId,
+    /// The workspace whose share it is charged to; `None` if its caller is not identified.
+    pub workspace: Option<WorkspaceId>,
     /// That workspace's share of the engines.
     pub share: f64,
     /// Name of its class, for logs and metrics.
@@ -50,6 +50,11 @@
 const MAX_SHARED_PARTS: usize = 16;
 
 impl RunRequest {
+    /// Returns whether the answer is a stream of tokens or events.
+    pub fn streams(&self) -> bool {
+        self.proxied.as_ref().is_none_or(|p| p.route.streams)
+    }
+
     /// Returns the parts of the prompt that other requests may have too: all but the last one.
     pub fn shared_parts(&self) -> &[PrefixHash] {
         let parts = self.routing.blocks.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -61,6 +61,10 @@
     pub(super) relays_tried: u32,
     /// How the latest of them failed.
     pub(super) relay_fault: Option<Fault>,
+    /// Whether the request is counted in its workspace's usage.
+    pub(super) usage_counted: bool,
+    /// Whether the request was charged to its workspace, or refused for its share.
+    pub(super) share_checked: bool,
 }
 
 impl Task {
@@ -91,6 +95,8 @@
             unreached: SmallVec::new(),
             relays_tried: 0,
             relay_fault: None,
+            usage_counted: false,
+            share_checked: false,
         }
     }
 
@@ -199,12 +205,11 @@
         if request.relayed.is_some() {
             return;
         }
-        let service = request.routing.model.as_str();
-        self.app
-            .metrics
-            .requests
-            .with_label_values(&[service, request.class.as_str(), "left"])
-            .inc();
+        let (service, metrics) = (request.routing.model.as_str(), &self.app.metrics);
+        metrics.requests.with_label_values(&[service, request.class.as_str(), "left"]).inc();
+        if request.proxied.is_some() {
+            metrics.record_workspace_end(request.workspace.as_ref(), "left");
+        }
     }
 
     /// Ends the request with a fault, which is sent to the caller.
@@ -221,6 +226,9 @@
         let code = fault.kind.answer().code;
         if request.relayed.is_none() {
             self.app.metrics.record_end(service, class, code, Some(code));
+            if request.proxied.is_some() {
+                self.app.metrics.record_workspace_end(request.workspace.as_ref(), code);
+            }
         }
         // The caller may have disconnected.
         let _ = self.sender.send(Err(fault)).await;
