--- a/core/src/fleet/held_prefixes.rs
+++ b/core/src/fleet/held_prefixes.rs
@@ -56,7 +56,7 @@
         let old = self.prefixes.iter().position(|p| p.prefix == prefix);
         let old = old.map(|i| self.prefixes.remove(i));
         if progress == PrefixProgress::Prefilling {
-            self.rate = self.uses_per_s(now) + 1.0 / RATE_TIME.as_secs_f64();
+            self.rate = self.use_rate(now) + 1.0 / RATE_TIME.as_secs_f64();
             self.rate_at = now;
         }
         let ready = |p: &HeldPrefix| p.progress == PrefixProgress::Ready;
@@ -95,7 +95,7 @@
     }
 
     /// Returns how many prompts with shared prefixes are sent to the engine per second.
-    pub fn uses_per_s(&self, now: Time) -> f64 {
+    pub fn use_rate(&self, now: Time) -> f64 {
         let age = (now - self.rate_at).as_secs_f64();
         self.rate * (-age / RATE_TIME.as_secs_f64()).exp()
     }
--- a/core/src/route/held_copies.rs
+++ b/core/src/route/held_copies.rs
@@ -24,7 +24,7 @@
     /// Tokens placed in its memory since the last use of the prefix.
     newer: Tokens,
     /// Tokens placed in its memory per second.
-    placed_per_s: f64,
+    place_rate: f64,
     link_wait: f64,
     pace: f64,
 }
@@ -32,7 +32,7 @@
 impl Holder {
     /// Returns the probability that the prefix is there in `wait` seconds.
     fn probability(&self, wait: f64) -> f64 {
-        let placed = Tokens((self.placed_per_s * wait) as u64);
+        let placed = Tokens((self.place_rate * wait) as u64);
         self.kv.held_probability(self.newer + placed)
     }
 }
@@ -60,7 +60,7 @@
     holders: SmallVec<[Holder; 4]>,
     tokens: Tokens,
     /// Prompts with shared prefixes that each prefilling engine gets per second, on average.
-    uses_per_s: f64,
+    use_rate: f64,
 }
 
 impl HeldCopies {
@@ -82,7 +82,7 @@
                 continue;
             }
             if engine.role == Role::Prefill {
-                uses += engine.held_prefixes.uses_per_s(now);
+                uses += engine.held_prefixes.use_rate(now);
                 prefilling += 1;
             }
             let Some((progress, newer)) = engine.held_prefixes.find(prefix, tokens, now) else {
@@ -98,12 +98,12 @@
                 kv,
                 progress,
                 newer,
-                placed_per_s: held.uses_per_s(now) * request.prompt.0 as f64,
+                place_rate: held.use_rate(now) * request.prompt.0 as f64,
                 pace: engine.pace.at(now),
                 link_wait: held.link_wait(now).as_secs_f64(),
             });
         }
-        Some(Self { holders, tokens, uses_per_s: uses / f64::from(prefilling.max(1)) })
+        Some(Self { holders, tokens, use_rate: uses / f64::from(prefilling.max(1)) })
     }
 
     /// Returns the cheapest use of the prefix by the engine at `index`, which begins the prefill in
@@ -144,7 +144,7 @@
         let hit = Tokens((self.tokens.0 as f64 * probability) as u64);
         let work = (request.prompt - hit).0 as f64 / rate + transfer_s;
         // Prompts that arrive before this one is prefilled wait for it.
-        let behind = work * self.uses_per_s * (wait + work);
+        let behind = work * self.use_rate * (wait + work);
         let reread = (1.0 - probability) * read;
         PrefixReuse {
             hit,
--- a/core/tests/platform/mod.rs
+++ b/core/tests/platform/mod.rs
@@ -54,7 +54,7 @@
     /// Price of the targets so far, in seconds of a target at full price.
     pub cost: f64,
     /// Targets removed within 10 s of a role change.
-    pub changed_in_vain: usize,
+    pub wasted_changes: usize,
     now: f64,
     last_change: f64,
 }
@@ -90,7 +90,7 @@
             new_role: None,
             overloaded: 0,
             cost: 0.0,
-            changed_in_vain: 0,
+            wasted_changes: 0,
             now: 0.0,
             last_change: f64::MIN,
         }
@@ -177,7 +177,7 @@
             let index = self.targets.iter().position(of_group).unwrap();
             let removed = self.targets.remove(index);
             let changed = removed.changing_until + 10.0 > self.now && removed.changing_until > 0.0;
-            self.changed_in_vain += usize::from(changed);
+            self.wasted_changes += usize::from(changed);
         }
         while self.ordered(zone, kind) < count {
             let alternate =
--- a/core/tests/scaling.rs
+++ b/core/tests/scaling.rs
@@ -280,5 +280,5 @@
     let split = platform.split();
     assert!(split.prefill >= need.prefill && split.decode >= need.decode, "{split:?} {need:?}");
     assert_eq!(platform.overloaded, 0);
-    assert_eq!(platform.changed_in_vain, 0, "a role change of a target that was then removed");
+    assert_eq!(platform.wasted_changes, 0, "a role change of a target that was then removed");
 }
--- a/fakes/src/simulation/shared_fleet.rs
+++ b/fakes/src/simulation/shared_fleet.rs
@@ -54,7 +54,7 @@
     score: FleetScore,
     /// Mean utilization and time of the last change, for the threshold baseline.
     threshold: (f64, f64),
-    last_role_change: f64,
+    last_change: f64,
     rng: SmallRng,
 }
 
@@ -88,7 +88,7 @@
         long: (0, 0),
         score: FleetScore::default(),
         threshold: (0.5, 10.0),
-        last_role_change: 0.0,
+        last_change: 0.0,
         rng: SmallRng::seed_from_u64(setup.seed),
     };
     for tick in 0..(setup.length / TICK_S) as u64 {
@@ -279,7 +279,7 @@
             self.carry_out(&order);
             self.scaler.end(&order, ScalingOutcome::Accepted, time);
         }
-        if now - self.last_role_change >= 1.0 {
+        if now - self.last_change >= 1.0 {
             self.change_role(split, time);
         }
     }
@@ -295,7 +295,7 @@
         {
             engine.role = role;
             engine.changing_until = now + ROLE_CHANGE_S;
-            self.last_role_change = now;
+            self.last_change = now;
         }
     }
 
