--- a/daemon/tests/fault_injection/fault_plan.rs
+++ b/daemon/tests/fault_injection/fault_plan.rs
@@ -1,5 +1,5 @@
 use {
-    super::fleet::{Fleet, Instance, Program},
+    super::fleet::{Fleet, Instance, Program, SOFTWARE},
     crate::platform::{Behavior, Mode},
     nix::sys::signal::Signal,
     rand::{rngs::StdRng, Rng, SeedableRng},
@@ -44,6 +44,8 @@
     Kill(usize),
     /// Sends SIGHUP to an instance.
     Reload(usize),
+    /// Kills all instances at once; meanwhile all targets leave that have this software.
+    KillAll(Option<&'static str>),
     /// Replaces an instance by one of another build.
     Replace(usize, Program),
 }
@@ -69,6 +71,11 @@
                 (at, if cuts { duration * 2 } else { duration }, fault)
             })
             .collect();
+        if rng.gen_bool(0.5) {
+            let software = SOFTWARE[rng.gen_range(0..SOFTWARE.len())];
+            let leaving = rng.gen::<bool>().then_some(software);
+            faults.push((length.mul_f64(rng.gen()), Duration::ZERO, Fault::KillAll(leaving)));
+        }
         faults.sort_by_key(|(at, ..)| *at);
         Self { faults }
     }
@@ -90,9 +97,9 @@
     /// Returns whether instances forget what a target said of itself, or the link to it is harmed, so
     /// that it may get requests later than it should.
     pub fn disturbs(&self, target: usize) -> bool {
-        use Fault::{CutOff, Kill, Pause, Replace, TargetLink, Terminate};
+        use Fault::{CutOff, Kill, KillAll, Pause, Replace, TargetLink, Terminate};
         self.faults.iter().any(|(_, _, fault)| match fault {
-            Kill(_) | Pause(_) | Replace(..) | Terminate(_) => true,
+            Kill(_) | KillAll(_) | Pause(_) | Replace(..) | Terminate(_) => true,
             TargetLink(i, _) => *i == target,
             CutOff { .. } => true,
             _ => false,
@@ -207,6 +214,7 @@
         Fault::Pause(i) => fleet.instances[*i].signal(Signal::SIGSTOP),
         Fault::Terminate(i) => fleet.instances[*i].restart(Signal::SIGTERM).await,
         Fault::Kill(i) => fleet.instances[*i].restart(Signal::SIGKILL).await,
+        Fault::KillAll(leaving) => fleet.kill_all(*leaving).await,
         Fault::Reload(i) => fleet.instances[*i].signal(Signal::SIGHUP),
         Fault::Replace(i, program) => fleet.instances[*i].replace(*program).await,
     }
--- a/daemon/tests/fault_injection/fleet.rs
+++ b/daemon/tests/fault_injection/fleet.rs
@@ -72,7 +72,7 @@
 }
 
 /// Software versions that the targets have in turn.
-const SOFTWARE: [&str; 2] = ["v1", "v1.1"];
+pub const SOFTWARE: [&str; 2] = ["v1", "v1.1"];
 /// Time between two events of a stream; streams are in progress as faults begin.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// Time that a crashed target is down.
@@ -291,6 +291,21 @@
         times
     }
 
+    /// Kills all instances at once and starts them again. Meanwhile the targets that have the software
+    /// `leaving` leave without notice; a target of each software is added before.
+    pub async fn kill_all(&mut self, leaving: Option<&str>) {
+        for _ in SOFTWARE {
+            self.add_target().await;
+        }
+        self.instances.iter().for_each(|instance| instance.signal(Signal::SIGKILL));
+        for runner in self.targets.iter().filter(|r| r.software().as_deref() == leaving) {
+            self.store.remove(&format!("servers/{}", runner.id));
+        }
+        for instance in &mut self.instances {
+            instance.restart(Signal::SIGKILL).await;
+        }
+    }
+
     /// Folder with the settings and logs of the instances.
     pub fn folder(&self) -> &PathBuf {
         &self.folder
