Refusals name what the request would have waited for

'the queue is N ms long' was the larger of two waits, so that on-call could not tell busy prefilling engines from full decoding ones. The pick now says which wait it is (prefill of earlier prompts, decode slot, permit), and the refusal names it in the log line, the answer and lentilctl explain. Test choose_names_the_wait. The choice itself is unchanged.

Also a unit test of the choice at versions that are not recorded.

--- a/core/src/admit/queue.rs
+++ b/core/src/admit/queue.rs
@@ -65,7 +65,10 @@
 fn check_queue(pick: &Pick, max_wait: Duration, left: Duration) -> Result<(), Fault> {
     if pick.queue_wait > max_wait {
         let excess = pick.queue_wait - max_wait;
-        return refuse(excess, format!("the queue is {} ms long", pick.queue_wait.as_millis()));
+        return refuse(
+            excess,
+            format!("the wait for {} is {} ms", pick.wait, pick.queue_wait.as_millis()),
+        );
     }
     if pick.first_token <= left {
         return Ok(());
--- a/core/src/admit/tests.rs
+++ b/core/src/admit/tests.rs
@@ -5,7 +5,7 @@
         error::ErrorKind,
         ids::{Millis, Tokens, WorkspaceId},
         manifest::ClassSpec,
-        route::Pick,
+        route::{Pick, Wait},
     },
     std::time::Duration,
 };
@@ -21,6 +21,7 @@
         prefill: None,
         first_token: millis(first),
         queue_wait: millis(first / 2),
+        wait: Wait::default(),
         end: millis(end),
         hit: Tokens(0),
         fetch: None,
--- a/core/src/route/choose.rs
+++ b/core/src/route/choose.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         cost, prefix_home, Cost, HeldCopies, Pick, PrefixCopies, RoutingOrigin, RoutingRequest,
-        KV_TRANSFER_BASE_S, KV_TRANSFER_S_PER_TOKEN,
+        Wait, KV_TRANSFER_BASE_S, KV_TRANSFER_S_PER_TOKEN,
     },
     crate::{
         clock::Time,
@@ -174,8 +174,7 @@
     let first = |prefill: f64| prefill.max(d.cost.slot_wait) + d.cost.network + d.cost.per_token;
     let delay_weight = MIXED_PREFILL_PENALTY + STREAM_DELAY_WEIGHT * f64::from(d.cost.streams);
     let score = first(d.cost.prefill) + delay_weight * d.cost.prefill;
-    let wait = d.cost.queue_wait.max(d.cost.slot_wait);
-    (build_pick(d, None, [first(d.cost.known_prefill), wait], d.cost, request), score)
+    (build_pick(d, None, first(d.cost.known_prefill), d.cost, request), score)
 }
 
 /// Returns the pick that prefills on one engine and decodes on another, with its score.
@@ -187,23 +186,28 @@
         ready.max(d.cost.slot_wait) + d.cost.network + d.cost.per_token
     };
     let score = first(p.cost.prefill);
-    let wait = p.cost.queue_wait.max(d.cost.slot_wait);
-    (build_pick(d, Some(p.index), [first(p.cost.known_prefill), wait], p.cost, request), score)
+    (build_pick(d, Some(p.index), first(p.cost.known_prefill), p.cost, request), score)
 }
 
 fn build_pick(
     d: Candidate,
     prefill: Option<usize>,
-    [first, wait]: [f64; 2],
+    first: f64,
     prefill_cost: Cost,
     request: &RoutingRequest,
 ) -> Pick {
+    let (queue, slot) = (prefill_cost.queue_wait, d.cost.slot_wait);
+    let (wait, kind, permit) = match queue >= slot {
+        true => (queue, Wait::Prefill, prefill_cost.permit_wait),
+        false => (slot, Wait::DecodeSlot, d.cost.permit_wait),
+    };
     let end = first + request.output.0 as f64 * d.cost.per_token;
     Pick {
         decode: d.index,
         prefill,
         first_token: Duration::from_secs_f64(first),
         queue_wait: Duration::from_secs_f64(wait),
+        wait: if permit > wait / 2.0 { Wait::Permit } else { kind },
         end: Duration::from_secs_f64(end),
         hit: prefill_cost.hit,
         assumed: prefill_cost.assumed,
--- a/core/src/route/cost.rs
+++ b/core/src/route/cost.rs
@@ -45,6 +45,8 @@
     pub known_prefill: f64,
     /// Time until the prefill of the prompt begins, counting only known work.
     pub queue_wait: f64,
+    /// Part of the wait for a permit of the engine's rate limit.
+    pub permit_wait: f64,
     /// Time until a decode slot is free.
     pub slot_wait: f64,
     /// Time between two output tokens at the current load.
@@ -132,6 +134,7 @@
             + reuse.others_s,
         known_prefill,
         queue_wait,
+        permit_wait,
         slot_wait: slot_wait(engine, &load, request) * pace + permit_wait,
         per_token,
         pace,
--- a/core/src/route/mod.rs
+++ b/core/src/route/mod.rs
@@ -8,10 +8,11 @@
 mod prefix_copies;
 mod prefix_home;
 mod request;
+mod wait;
 
 pub use {
     choose::*, cost::*, held_copies::*, origin::*, pick::*, prefix_copies::*, prefix_home::*,
-    request::*,
+    request::*, wait::*,
 };
 
 #[cfg(test)]
--- a/core/src/route/pick.rs
+++ b/core/src/route/pick.rs
@@ -1,4 +1,4 @@
-use {crate::ids::Tokens, std::time::Duration};
+use {super::Wait, crate::ids::Tokens, std::time::Duration};
 
 /// Engines chosen for a request, as indices into the engine table, with the expected times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -11,6 +11,8 @@
     pub first_token: Duration,
     /// Part of `first_token` that the request spends in queues.
     pub queue_wait: Duration,
+    /// What the request waits for in that time.
+    pub wait: Wait,
     /// Expected time to the end of the output.
     pub end: Duration,
     /// Prompt tokens that need no prefill, because they are cached or can be fetched.
--- a/core/src/route/tests.rs
+++ b/core/src/route/tests.rs
@@ -262,3 +262,40 @@
     engines[0].leaving = true;
     assert_eq!(chosen(&engines, &stream), 1, "no other engine");
 }
+
+/// Each case: engines, and what the request waits for.
+#[test]
+fn choose_names_the_wait() {
+    let idle = || registered("p", Role::Prefill, 0, 0);
+    let prefilling = |id, role| registered(id, role, 90_000, 1);
+    let full = registered("d", Role::Decode, 0, 40);
+    let cases = [
+        ([prefilling("p", Role::Prefill), prefilling("d", Role::Decode)], Wait::Prefill),
+        ([idle(), full], Wait::DecodeSlot),
+    ];
+    for (engines, expected) in cases {
+        let pick = choose(&engines, &CacheIndex::default(), &request(1_000), &origin(), NOW);
+        let pick = pick.unwrap();
+        assert_eq!((pick.wait, pick.queue_wait.is_zero()), (expected, false));
+    }
+}
+
+#[test]
+fn choose_begins_no_resumable_stream_at_an_unrecorded_version() {
+    let engines = |recorded| {
+        let decode = EngineView { recorded, ..registered("d", Role::Decode, 0, 0) };
+        [registered("p", Role::Prefill, 0, 0), decode]
+    };
+    let cache = CacheIndex::default();
+    let begins = RoutingRequest { resumable: true, ..request(1_000) };
+    let continues = RoutingRequest { software: "v1".parse().ok(), ..begins.clone() };
+    for (request, recorded, chosen) in [
+        (&begins, true, true),
+        (&begins, false, false),
+        (&continues, false, true),
+        (&request(1_000), false, true),
+    ] {
+        let pick = choose(&engines(recorded), &cache, request, &origin(), NOW);
+        assert_eq!(pick.is_ok(), chosen, "resumable={} {recorded}", request.resumable);
+    }
+}
