An invalid record of software versions makes the past unknown each time that it is read

A stream that waited for a read of the record took the only known version also if the record was invalid.

--- a/core/src/fleet/software_history.rs
+++ b/core/src/fleet/software_history.rs
@@ -91,7 +91,7 @@
 
     /// Records that nothing is known of the streams that began before `now`.
     pub fn record_lost_past(&mut self, now: Time) {
-        self.complete.get_or_insert(now + ORIGIN_RETENTION);
+        self.complete = Some(now + ORIGIN_RETENTION);
     }
 
     /// Returns from when on all versions are known that may have begun streams.
