A resumed stream is refused only after all instances were asked for its origin

Cause: if the first instances asked call one version the only one, and the record in the store then has another, the search ended without asking the rest, one of which knows the origin. Change: the others are asked before the refusal, in the instance and in the model.

--- a/core/tests/origins.rs
+++ b/core/tests/origins.rs
@@ -269,6 +269,9 @@
             let instance = &mut self.instances[i];
             instance.history.apply_record(record, &instance.targets, now);
             search.add(self.answer(i, id, now));
+            if search.resume_at(|_| true).is_none() {
+                self.ask(others, id, now, &mut search);
+            }
         } else {
             answered &= self.ask(others, id, now, &mut search);
             let known = self.instances[i].history.known();
--- a/node/src/mesh/streams.rs
+++ b/node/src/mesh/streams.rs
@@ -122,6 +122,10 @@
     }
     let Err(error) = refresh_software(app, began).await else {
         search.add(own_answer(app, Some(stream), service));
+        if search.resume_at(|_| true).is_none() {
+            // The others may know the origin, also before they know the version that was recorded last.
+            ask_each(app, others, &question, &mut search).await;
+        }
         return search;
     };
     answered &= ask_each(app, others, &question, &mut search).await;
