Review case 1: two holders of a duty with one number after a store drill

Cause: a fencing number is the stored ledger's number plus one. After the store was restored from a copy made before the take-over, the next holder gets the number that its predecessor has already used, and the other instances do not send it the counts of earlier windows again.

Case: review/1, a script with stand-ins in review/standins: the store is away for 1 s and comes back from a copy 5.5 s old, while the machine that reports the usage is replaced by plan.

--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,36 @@
+//! Stand-ins of the platform, its runners, its clients and its operator, and the cases that use them.
+
+mod deployment;
+mod http;
+mod json;
+mod poison;
+mod quarantine;
+mod runner;
+mod silent_watch;
+mod store;
+mod store_drill;
+
+use std::process::exit;
+
+/// How a case ended; the value is the exit code of its script.
+pub enum End {
+    Held = 0,
+    Broken = 1,
+    NotRun = 2,
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let [case, rest @ ..] = args.as_slice() else { exit(2) };
+    let folder = rest.first().map_or(".", String::as_str);
+    let end = match case.as_str() {
+        "runner" => return runner::run(rest),
+        "poison" => poison::run(folder, trouble),
+        "quarantine" => quarantine::run(folder, trouble),
+        "silent-watch" => silent_watch::run(folder, trouble),
+        "store-drill" => store_drill::run(folder, trouble),
+        _ => End::NotRun,
+    };
+    exit(end as i32);
+}
--- /dev/null
+++ b/review/standins/src/runner.rs
@@ -0,0 +1,76 @@
+//! Stand-in of a runner of a plain service; a process of its own, so that a kill ends it.
+
+use {
+    crate::{
+        deployment::unix_ms,
+        http::{read_message, response, Message},
+        poison::POISON,
+    },
+    std::{
+        fs::File,
+        io::{BufReader, Write},
+        net::{TcpListener, TcpStream},
+        sync::atomic::{AtomicU32, Ordering},
+        thread,
+        time::Duration,
+    },
+};
+
+static RUNNING: AtomicU32 = AtomicU32::new(0);
+
+/// Arguments: address, id, service, time of the start in Unix milliseconds, work in milliseconds, and the
+/// file in which the runner notes the request that crashes it.
+pub fn run(args: &[String]) {
+    let listener = TcpListener::bind(&args[0]).expect("the runner's address is free");
+    for stream in listener.incoming().flatten() {
+        let args = args.to_vec();
+        thread::spawn(move || serve(stream, &args));
+    }
+}
+
+fn serve(stream: TcpStream, args: &[String]) {
+    let _ = stream.set_nodelay(true);
+    let Ok(mut writer) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(stream);
+    while let Ok(Some(request)) = read_message(&mut reader) {
+        if writer.write_all(answer(&request, args).as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn answer(request: &Message, args: &[String]) -> String {
+    let [_, id, service, born, work, notes] = args else { return response(500, &[], "") };
+    let load = |running: u32| format!("{running},0,16");
+    match request.path() {
+        "/healthz" => {
+            let load = load(RUNNING.load(Ordering::Relaxed));
+            return response(200, &[("Instance-Id", id), ("Instance-Load", &load)], "");
+        }
+        "/v1/report" => {
+            let body = format!(
+                "{{\"born\":{born},\"models\":[],\"busy\":false,\"seq_no\":0,\"waiting\":0,\"running\":0}}"
+            );
+            return response(200, &[("Content-Type", "application/json")], &body);
+        }
+        _ => {}
+    }
+    let asked = request.header("request-id").unwrap_or("");
+    if request.header("expect-instance").is_some_and(|expected| expected != id) {
+        return response(421, &[("Request-Id", asked), ("Instance-Id", id)], "");
+    }
+    if request.path() == POISON {
+        let note = format!("{} {id} {asked}\n", unix_ms());
+        let file = File::options().create(true).append(true).open(notes);
+        let _ = file.and_then(|mut file| file.write_all(note.as_bytes()));
+        std::process::abort();
+    }
+    let load = load(RUNNING.fetch_add(1, Ordering::Relaxed) + 1);
+    thread::sleep(Duration::from_millis(work.parse().unwrap_or(50)));
+    RUNNING.fetch_sub(1, Ordering::Relaxed);
+    let tenant = request.header("tenant").unwrap_or("-");
+    let body = format!("service={service} runner={id} path={} tenant={tenant}\n", request.path());
+    let seal = format!("seal.{asked}.{}", body.len());
+    let headers = [("Request-Id", asked), ("Response-Seal", &seal), ("Instance-Load", &load)];
+    response(200, &headers, &body)
+}
