Review case 5: large request bodies take a machine over its memory

Cause: request bodies are read whole, up to the configured 4 MiB each, and nothing bounds their sum; only answers have a budget.

--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -136,6 +136,15 @@
         self.process.as_mut().is_some_and(|p| !matches!(p.try_wait(), Ok(None)))
     }
 
+    /// Returns the memory that the process holds.
+    pub fn resident_mb(&self) -> u64 {
+        let Some(process) = &self.process else { return 0 };
+        let text = fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_024
+    }
+
     pub fn is_ready(&self) -> bool {
         let request = "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n";
         call(self.ready, request, Duration::from_secs(1)).is_ok_and(|m| m.status() == 200)
@@ -341,6 +350,16 @@
 
 static REQUESTS: AtomicU64 = AtomicU64::new(1);
 
+/// Returns an id and the head of a request for a channel that is kept.
+pub fn request_text(method: &str, path: &str, size: usize, deadline: Duration) -> (String, String) {
+    let id = format!("{:016x}", 0x9c41_0000_0000_0000 + REQUESTS.fetch_add(1, Ordering::Relaxed));
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\nContent-Length: {size}\r\n\r\n",
+        deadline.as_millis()
+    );
+    (id, text)
+}
+
 /// Sends one request attempt with an id of its own; returns the id and the answer.
 pub fn request(
     at: SocketAddr,
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -20,6 +20,11 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the length of a body that is not chunked.
+    pub fn length(&self) -> usize {
+        self.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0)
+    }
+
     pub fn path(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or("")
     }
@@ -35,6 +40,18 @@
 
 /// Reads one message; `None` if the connection was closed before it.
 pub fn read_message(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+    let Some(mut message) = read_head(reader)? else { return Ok(None) };
+    if message.header("transfer-encoding").is_some() {
+        message.body = read_chunks(reader)?;
+    } else {
+        message.body = vec![0; message.length()];
+        reader.read_exact(&mut message.body)?;
+    }
+    Ok(Some(message))
+}
+
+/// Reads a message without its body; `None` if the connection was closed before it.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -54,15 +71,7 @@
             headers.push((name.to_owned(), value.trim().to_owned()));
         }
     }
-    let mut message = Message { start, headers, body: Vec::new() };
-    if message.header("transfer-encoding").is_some() {
-        message.body = read_chunks(reader)?;
-    } else {
-        let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
-        message.body = vec![0; length];
-        reader.read_exact(&mut message.body)?;
-    }
-    Ok(Some(message))
+    Ok(Some(Message { start, headers, body: Vec::new() }))
 }
 
 fn read_chunks(reader: &mut BufReader<TcpStream>) -> io::Result<Vec<u8>> {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod silent_watch;
 mod store;
 mod store_drill;
+mod uploads;
 
 use std::process::exit;
 
@@ -29,6 +30,7 @@
         "poison" => poison::run(folder, trouble),
         "quarantine" => quarantine::run(folder, trouble),
         "silent-watch" => silent_watch::run(folder, trouble),
+        "uploads" => uploads::run(folder, trouble),
         "store-drill" => store_drill::run(folder, trouble),
         _ => End::NotRun,
     };
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -3,12 +3,13 @@
 use {
     crate::{
         deployment::unix_ms,
-        http::{read_message, response, Message},
+        http::{read_head, response, Message},
         poison::POISON,
+        uploads::SLOW,
     },
     std::{
         fs::File,
-        io::{BufReader, Write},
+        io::{BufReader, Read, Write},
         net::{TcpListener, TcpStream},
         sync::atomic::{AtomicU32, Ordering},
         thread,
@@ -32,15 +33,48 @@
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
-    while let Ok(Some(request)) = read_message(&mut reader) {
+    while let Ok(Some(request)) = read_head(&mut reader) {
+        if !read_body(&request, &mut reader, args) {
+            return;
+        }
         if writer.write_all(answer(&request, args).as_bytes()).is_err() {
             return;
         }
     }
 }
 
+/// Reads the body of a request, slowly on one path; returns whether it is whole.
+fn read_body(request: &Message, reader: &mut BufReader<TcpStream>, args: &[String]) -> bool {
+    let slow = request.path() == SLOW;
+    if slow {
+        note(request, args);
+    }
+    let mut left = request.length();
+    let mut part = vec![0; 64 << 10];
+    while left > 0 {
+        let size = left.min(part.len());
+        if reader.read_exact(&mut part[..size]).is_err() {
+            return false;
+        }
+        left -= size;
+        if slow {
+            thread::sleep(Duration::from_millis(30));
+        }
+    }
+    true
+}
+
+/// Notes that a request has reached this runner.
+fn note(request: &Message, args: &[String]) {
+    let [_, id, _, _, _, notes] = args else { return };
+    let asked = request.header("request-id").unwrap_or("");
+    let text = format!("{} {id} {asked}\n", unix_ms());
+    let file = File::options().create(true).append(true).open(notes);
+    let _ = file.and_then(|mut file| file.write_all(text.as_bytes()));
+}
+
 fn answer(request: &Message, args: &[String]) -> String {
-    let [_, id, service, born, work, notes] = args else { return response(500, &[], "") };
+    let [_, id, service, born, work, _] = args else { return response(500, &[], "") };
     let load = |running: u32| format!("{running},0,16");
     match request.path() {
         "/healthz" => {
@@ -60,9 +94,7 @@
         return response(421, &[("Request-Id", asked), ("Instance-Id", id)], "");
     }
     if request.path() == POISON {
-        let note = format!("{} {id} {asked}\n", unix_ms());
-        let file = File::options().create(true).append(true).open(notes);
-        let _ = file.and_then(|mut file| file.write_all(note.as_bytes()));
+        note(request, args);
         std::process::abort();
     }
     let load = load(RUNNING.fetch_add(1, Ordering::Relaxed) + 1);
