--- a/review/standins/tests/deployment.rs
+++ b/review/standins/tests/deployment.rs
@@ -113,7 +113,8 @@
     /// Sends SIGTERM.
     pub fn stop(&self) {
         if let Some(process) = &self.process {
-            let _ = Command::new("kill").arg("-TERM").arg(process.id().to_string()).status();
+            let command = format!("kill -TERM {}", process.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
