--- a/review/standins/tests/uploads.rs
+++ b/review/standins/tests/uploads.rs
@@ -20,6 +20,8 @@
 /// `max_body_bytes` of the config.
 const BODY: usize = 4_194_304;
 const REQUESTERS: usize = 80;
+/// Time between the sends of two requesters.
+const STAGGER: Duration = Duration::from_millis(25);
 const DEADLINE: Duration = Duration::from_millis(5_000);
 
 /// Path of the requests whose bodies runners read slowly.
@@ -77,6 +79,7 @@
                 let first = exchange(&stream, &mut reader, &head, &[]);
                 record.line(&format!("requester {number} request {id}: {first}"));
                 barrier.wait();
+                thread::sleep(STAGGER * number as u32);
                 let (id, head) = request_text("POST", SLOW, size, DEADLINE);
                 let sent = Instant::now();
                 let end = exchange(&stream, &mut reader, &head, &vec![b'x'; size]);
