review: streams are taken up again at another service

Cause: a resumed stream of unknown origin, or of an origin that the route no longer allows, goes on at the only version of the service that the route names now. Case: review/4 moves a route while streams run and kills one instance of six; review/5 kills one instance while a route is split between two services.

--- a/review/standins/tests/deployment.rs
+++ b/review/standins/tests/deployment.rs
@@ -155,6 +155,7 @@
 pub struct Runner {
     pub id: String,
     pub service: String,
+    version: &'static str,
     address: SocketAddr,
     zone: &'static str,
     born: u64,
@@ -169,8 +170,8 @@
 impl Runner {
     fn entry(&self) -> String {
         format!(
-            "{{\"service\":{},\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq_no\":0,\"born\":{}}}",
-            quote(&self.service), self.address, self.zone, self.born
+            "{{\"service\":{},\"address\":\"{}\",\"zone\":\"{}\",\"version\":{},\"slots\":16,\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq_no\":0,\"born\":{}}}",
+            quote(&self.service), self.address, self.zone, quote(self.version), self.born
         )
     }
 }
@@ -227,11 +228,17 @@
 
     /// Starts a runner as a process; it registers itself.
     pub fn start_runner(&self, id: &str, service: &str, work_ms: u64) {
+        self.start_version(id, service, "v1", work_ms);
+    }
+
+    /// Starts a runner of a version of the service's software.
+    pub fn start_version(&self, id: &str, service: &str, version: &'static str, work_ms: u64) {
         let (address, born) = (free_address(), unix_ms());
         let process = Command::new(&self.program)
             .args(["runner", &address.to_string(), id, service])
             .args([born.to_string(), work_ms.to_string()])
             .arg(self.notes())
+            .arg(version)
             .stdin(Stdio::null())
             .spawn()
             .expect("a runner starts");
@@ -240,6 +247,7 @@
         runners.push(Runner {
             id: id.to_owned(),
             service: service.to_owned(),
+            version,
             address,
             zone,
             born,
--- a/review/standins/tests/main.rs
+++ b/review/standins/tests/main.rs
@@ -3,12 +3,15 @@
 mod deployment;
 mod http;
 mod json;
+mod moved_stream;
 mod poison;
 mod quarantine;
 mod runner;
 mod silent_watch;
+mod split_stream;
 mod store;
 mod store_drill;
+mod streams;
 mod uploads;
 
 use std::process::exit;
@@ -30,6 +33,8 @@
         "poison" => poison::run(folder, trouble),
         "quarantine" => quarantine::run(folder, trouble),
         "silent-watch" => silent_watch::run(folder, trouble),
+        "moved-stream" => moved_stream::run(folder, trouble),
+        "split-stream" => split_stream::run(folder, trouble),
         "uploads" => uploads::run(folder, trouble),
         "store-drill" => store_drill::run(folder, trouble),
         _ => End::NotRun,
--- a/review/standins/tests/runner.rs
+++ b/review/standins/tests/runner.rs
@@ -5,6 +5,7 @@
         deployment::unix_ms,
         http::{read_head, response, Message},
         poison::POISON,
+        streams::{EVENTS, STREAMS},
         uploads::SLOW,
     },
     std::{
@@ -19,8 +20,8 @@
 
 static RUNNING: AtomicU32 = AtomicU32::new(0);
 
-/// Arguments: address, id, service, time of the start in Unix milliseconds, work in milliseconds, and the
-/// file in which the runner notes the request that crashes it.
+/// Arguments: address, id, service, time of the start in Unix milliseconds, work in milliseconds (of a
+/// stream: for each event), the file in which the runner notes some requests, and its software version.
 pub fn run(args: &[String]) {
     let listener = TcpListener::bind(&args[0]).expect("the runner's address is free");
     for stream in listener.incoming().flatten() {
@@ -37,12 +38,42 @@
         if !read_body(&request, &mut reader, args) {
             return;
         }
+        if request.path().starts_with(STREAMS) && is_expected(&request, args) {
+            if send_stream(&request, &mut writer, args).is_err() {
+                return;
+            }
+            continue;
+        }
         if writer.write_all(answer(&request, args).as_bytes()).is_err() {
             return;
         }
     }
 }
 
+/// Returns whether this runner is the one that the request names, if it names one.
+fn is_expected(request: &Message, args: &[String]) -> bool {
+    request.header("expect-instance").is_none_or(|expected| expected == args[1])
+}
+
+/// Sends a stream of events after the last one that the request names. An error says that the channel was
+/// closed, which ends the run.
+fn send_stream(request: &Message, writer: &mut TcpStream, args: &[String]) -> std::io::Result<()> {
+    let [_, id, service, _, work, _, version] = args else { return Ok(()) };
+    let asked = request.header("request-id").unwrap_or("");
+    let after = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    note(request, args);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {asked}\r\nResponse-Seal: seal.{asked}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    writer.write_all(head.as_bytes())?;
+    for event in after + 1..=EVENTS {
+        thread::sleep(Duration::from_millis(work.parse().unwrap_or(50)));
+        let text = format!("id: {event}\ndata: {service} {version} {id} part {event}\n\n");
+        writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+    }
+    writer.write_all(b"0\r\n\r\n")
+}
+
 /// Reads the body of a request, slowly on one path; returns whether it is whole.
 fn read_body(request: &Message, reader: &mut BufReader<TcpStream>, args: &[String]) -> bool {
     let slow = request.path() == SLOW;
@@ -66,7 +97,7 @@
 
 /// Notes that a request has reached this runner.
 fn note(request: &Message, args: &[String]) {
-    let [_, id, _, _, _, notes] = args else { return };
+    let [_, id, _, _, _, notes, _] = args else { return };
     let asked = request.header("request-id").unwrap_or("");
     let text = format!("{} {id} {asked}\n", unix_ms());
     let file = File::options().create(true).append(true).open(notes);
@@ -74,7 +105,7 @@
 }
 
 fn answer(request: &Message, args: &[String]) -> String {
-    let [_, id, service, born, work, _] = args else { return response(500, &[], "") };
+    let [_, id, service, born, work, ..] = args else { return response(500, &[], "") };
     let load = |running: u32| format!("{running},0,16");
     match request.path() {
         "/healthz" => {
