review: a document is refused for good after two crashes seconds apart

Cause: a success clears the suspicion against a request only at its own instance; the others gossip the crash again, with an age of zero, so that it is never forgotten.

--- a/review/standins/tests/main.rs
+++ b/review/standins/tests/main.rs
@@ -1,9 +1,11 @@
 //! Stand-ins of the platform, its runners, its clients and its operator, and the cases that use them.
 
+mod apart;
 mod deployment;
 mod http;
 mod json;
 mod moved_stream;
+mod other_caller;
 mod other_host;
 mod poison;
 mod quarantine;
@@ -36,6 +38,8 @@
         "silent-watch" => silent_watch::run(folder, trouble),
         "moved-stream" => moved_stream::run(folder, trouble),
         "split-stream" => split_stream::run(folder, trouble),
+        "apart" => apart::run(folder, trouble),
+        "other-caller" => other_caller::run(folder, trouble),
         "other-host" => other_host::run(folder, trouble),
         "uploads" => uploads::run(folder, trouble),
         "store-drill" => store_drill::run(folder, trouble),
--- a/review/standins/tests/runner.rs
+++ b/review/standins/tests/runner.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
+        apart::DOCUMENT,
         deployment::unix_ms,
         http::{read_head, response, Message},
+        other_caller::CRASHING,
         other_host::SOUND,
         poison::POISON,
         streams::{EVENTS, STREAMS},
@@ -125,10 +127,15 @@
     if request.header("expect-instance").is_some_and(|expected| expected != id) {
         return response(421, &[("Request-Id", asked), ("Instance-Id", id)], "");
     }
-    if request.path() == POISON && service != SOUND {
+    // Where callers are named, only the requests of one of them crash it.
+    let crashing = request.header("tenant").is_none_or(|tenant| tenant == CRASHING);
+    if request.path() == POISON && service != SOUND && crashing {
         note(request, args);
         std::process::abort();
     }
+    if request.path() == DOCUMENT {
+        note(request, args);
+    }
     let load = load(RUNNING.fetch_add(1, Ordering::Relaxed) + 1);
     thread::sleep(Duration::from_millis(work.parse().unwrap_or(50)));
     RUNNING.fetch_sub(1, Ordering::Relaxed);
