--- a/review/standins/tests/other_caller.rs
+++ b/review/standins/tests/other_caller.rs
@@ -1,5 +1,5 @@
-//! The request of one caller crashes each runner that begins to run it, and comes again; other callers ask for
-//! the same path, which their requests bear.
+//! The request of one tenant crashes the runners that run it; another tenant asks for the same path, which its
+//! own requests bear.
 
 use {
     crate::{
@@ -9,8 +9,8 @@
     },
     std::{
         sync::{
-            atomic::{AtomicBool, AtomicU32, Ordering},
-            Arc,
+            atomic::{AtomicBool, Ordering},
+            Arc, Mutex,
         },
         thread,
         time::{Duration, Instant},
@@ -19,10 +19,14 @@
 
 /// Tenant whose request crashes runners.
 pub const CRASHING: &str = "huka270";
+/// The tenants and their keys: the second one asks for the same path, the third one for others.
+const TENANTS: [(&str, &str); 3] = [
+    (CRASHING, "492cqf75rjvz48wuakn2"),
+    ("puhu251", "ftimaj3nr26tta828m82"),
+    ("toho112", "8wq3n5kz2vtd6yb7pxr4"),
+];
 const MACHINES: usize = 3;
 const SERVICE: &str = "wuno96c";
-/// Keys of the two tenants.
-const KEYS: [&str; 2] = ["492cqf75rjvz48wuakn2", "ftimaj3nr26tta828m82"];
 /// "The runner is back after some seconds": one entry for each runner.
 const DOWN: [Duration; 4] = [
     Duration::from_millis(2_500),
@@ -30,15 +34,21 @@
     Duration::from_millis(3_500),
     Duration::from_millis(4_000),
 ];
-/// Bound of the site's sheet.
-const STABLE_WINDOW: Duration = Duration::from_millis(4_000);
-/// Runs of the request that may begin after that.
-const MOST: usize = 3;
-/// Time between two arrivals of the request that crashes runners.
-const INTERVAL: Duration = Duration::from_millis(9_000);
-/// Time between two requests of the other caller at a machine.
-const PAUSE: Duration = Duration::from_millis(100);
-const LENGTH: Duration = Duration::from_secs(90);
+/// When the request that crashes runners comes first, and the time between its arrivals.
+const FIRST: Duration = Duration::from_secs(5);
+const INTERVAL: Duration = Duration::from_secs(5);
+/// Clients of each machine, by tenant but the first.
+const CLIENTS: [usize; 2] = [2, 4];
+/// Time between two requests of a client.
+const PAUSE: Duration = Duration::from_millis(250);
+const LENGTH: Duration = Duration::from_secs(60);
+
+/// A request: its tenant, when it was sent, and whether it was served.
+struct Sent {
+    tenant: usize,
+    at: Instant,
+    served: bool,
+}
 
 pub fn run(folder: &str, trouble: bool) -> End {
     let record = Record::create(folder);
@@ -48,12 +58,12 @@
     for i in 0..DOWN.len() {
         deployment.start_runner(&format!("i-{i}-0"), SERVICE, 40);
     }
-    let tenants = format!(
-        ",\"tenants\":[{{\"name\":\"{CRASHING}\",\"api_keys\":[\"{}\"]}},{{\"name\":\"puhu251\",\"api_keys\":[\"{}\"]}}]",
-        KEYS[0], KEYS[1]
-    );
+    let tenants: Vec<String> = TENANTS
+        .iter()
+        .map(|(name, key)| format!("{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"]}}"))
+        .collect();
+    let tenants = format!(",\"tenants\":[{}]", tenants.join(","));
     let route = route("r-puxa403", "/puxa403/", SERVICE, false);
-    let route = route.replace("\"max_attempts\":2", "\"max_attempts\":1");
     deployment.store.put("op/config", &config(7, &route, &[SERVICE], &tenants));
     deployment.instances.iter_mut().for_each(|instance| instance.start());
     if !deployment.wait_ready(MACHINES, Duration::from_secs(15)) {
@@ -62,39 +72,36 @@
     }
     record.say("all instances are ready");
     let fronts: Vec<_> = deployment.instances.iter().map(|i| i.front).collect();
+    let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
-    let counts: Arc<[AtomicU32; 2]> = Arc::default();
-    let get = |key: usize| (("GET", POISON), format!("X-Api-Key: {}\r\n", KEYS[key]));
-    // Without the others the request is tried alone: OTHERS=0 shows what happens then.
-    let others = std::env::var("OTHERS").map_or(true, |value| value != "0");
-    let clients: Vec<_> = fronts
-        .iter()
-        .copied()
-        .enumerate()
-        .filter(|_| others)
-        .map(|(machine, front)| {
-            let (record, stop, counts) = (record.clone(), stop.clone(), counts.clone());
-            let (call, headers) = get(1);
-            thread::spawn(move || {
+    let mut clients = Vec::new();
+    for (machine, front) in fronts.iter().copied().enumerate() {
+        for client in 0..CLIENTS[0] + CLIENTS[1] {
+            let (record, sent, stop) = (record.clone(), sent.clone(), stop.clone());
+            let tenant = if client < CLIENTS[0] { 1 } else { 2 };
+            clients.push(thread::spawn(move || {
+                let mut number = 0u32;
                 while !stop.load(Ordering::Relaxed) {
-                    let (id, answer) = request(front, call, &headers, Duration::from_millis(2_000));
-                    let status = answer.as_ref().map_or(0, |message| message.status());
-                    record.line(&format!("edge-{machine} request {id} of puhu251: {status}"));
-                    counts[0].fetch_add(1, Ordering::Relaxed);
-                    counts[1].fetch_add(u32::from(status == 200), Ordering::Relaxed);
+                    number += 1;
+                    let other = format!("/puxa403/{machine}{client}{number}");
+                    let path = if tenant == 1 { POISON } else { &other };
+                    let at = Instant::now();
+                    let text = send(front, tenant, path, machine, &record);
+                    let served = text.starts_with("200");
+                    sent.lock().unwrap().push(Sent { tenant, at, served });
                     thread::sleep(PAUSE);
                 }
-            })
-        })
-        .collect();
+            }));
+        }
+    }
+    let begun = Instant::now();
+    let (mut number, mut due) = (0, begun + FIRST);
     let mut senders = Vec::new();
-    let (begun, mut number) = (Instant::now(), 0);
-    let mut due = begun + Duration::from_secs(3);
     while begun.elapsed() < LENGTH {
         for (id, at) in deployment.take_ended_runners(&DOWN) {
             let (name, starts) = id.rsplit_once('-').unwrap_or((&id, "0"));
             let next = format!("{name}-{}", starts.parse().unwrap_or(0) + 1);
-            record.line(&format!("runner {id} crashed at {:.3}; {next} starts", record.at(at)));
+            record.say(&format!("runner {id} crashed at {:.3}; {next} starts", record.at(at)));
             deployment.start_runner(&next, SERVICE, 40);
         }
         if trouble && Instant::now() >= due {
@@ -102,14 +109,9 @@
             let (machine, record) = (number % MACHINES, record.clone());
             let front = fronts[machine];
             number += 1;
-            let (call, headers) = get(0);
             senders.push(thread::spawn(move || {
-                let (id, answer) = request(front, call, &headers, Duration::from_millis(2_000));
-                let text = answer.map_or_else(
-                    |e| e.to_string(),
-                    |m| format!("{} {}", m.status(), m.text().trim()),
-                );
-                record.line(&format!("edge-{machine} request {id} of {CRASHING}: {text}"));
+                let text = send(front, 0, POISON, machine, &record);
+                record.say(&format!("edge-{machine} the request of {CRASHING}: {text}"));
             }));
         }
         thread::sleep(Duration::from_millis(10));
@@ -124,21 +126,53 @@
             record.at(*at)
         ));
     }
-    let late = match runs.get(2) {
-        Some((third, ..)) => runs.iter().filter(|(at, ..)| *at > *third + STABLE_WINDOW).count(),
-        None => 0,
+    let sent = sent.lock().unwrap();
+    let share = |chosen: &dyn Fn(&&Sent) -> bool| {
+        let all = sent.iter().filter(chosen).count();
+        let served = sent.iter().filter(chosen).filter(|s| s.served).count();
+        (all, served, served as f64 / all.max(1) as f64)
     };
-    let [sent, served] = [0, 1].map(|i: usize| counts[i].load(Ordering::Relaxed));
+    let (other, all) = (share(&|s| s.tenant == 1), share(&|_| true));
+    if let Some((last, ..)) = runs.last() {
+        let after = share(&|s| s.tenant == 1 && s.at > *last);
+        record.say(&format!(
+            "{} runners crashed, the last at {:.3}; after that {} of {} requests of {} were served",
+            runs.len(),
+            record.at(*last),
+            after.1,
+            after.0,
+            TENANTS[1].0
+        ));
+    }
     record.say(&format!(
-        "the request came {number} times and crashed runners {} times, {late} of them later than 4 s after the third; {served} of {sent} requests of the other caller were served",
-        runs.len()
+        "served over the whole time: {} of {} requests of {} ({:.3}), {} of all {} ({:.3})",
+        other.1, other.0, TENANTS[1].0, other.2, all.1, all.0, all.2
     ));
     if deployment.instances.iter_mut().any(|instance| instance.has_ended()) {
         record.say("an instance ended by itself");
         return End::Broken;
     }
-    match late > MOST {
+    match other.2 < all.2 / 4.0 {
         true => End::Broken,
         false => End::Held,
     }
 }
+
+/// Sends a request of a tenant and records it; returns its status and body.
+fn send(
+    front: std::net::SocketAddr,
+    tenant: usize,
+    path: &str,
+    machine: usize,
+    record: &Record,
+) -> String {
+    let (name, key) = TENANTS[tenant];
+    let headers = format!("X-Api-Key: {key}\r\n");
+    let (id, answer) = request(front, ("GET", path), &headers, Duration::from_millis(2_000));
+    let text = match answer {
+        Ok(message) => format!("{} {}", message.status(), message.text().trim()),
+        Err(error) => format!("no answer: {error}"),
+    };
+    record.line(&format!("edge-{machine} request {id} of {name} {path}: {text}"));
+    text
+}
