review: a lost path between one machine and two runners counts as their crash

Cause: a target that a probe does not reach counts as crashed if others answer, also if only the path to it is lost; two such verdicts refuse a request everywhere.

--- a/review/standins/tests/deployment.rs
+++ b/review/standins/tests/deployment.rs
@@ -259,6 +259,11 @@
         });
     }
 
+    /// Returns the addresses of all runners.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.runners.lock().unwrap().iter().map(|runner| runner.address).collect()
+    }
+
     fn notes(&self) -> PathBuf {
         self.folder.join("runs")
     }
--- a/review/standins/tests/main.rs
+++ b/review/standins/tests/main.rs
@@ -4,10 +4,12 @@
 mod deployment;
 mod http;
 mod json;
+mod lost_path;
 mod moved_stream;
 mod other_caller;
 mod other_host;
 mod poison;
+mod proxy;
 mod quarantine;
 mod runner;
 mod silent_watch;
@@ -39,6 +41,7 @@
         "moved-stream" => moved_stream::run(folder, trouble),
         "split-stream" => split_stream::run(folder, trouble),
         "apart" => apart::run(folder, trouble),
+        "lost-path" => lost_path::run(folder, trouble),
         "other-caller" => other_caller::run(folder, trouble),
         "other-host" => other_host::run(folder, trouble),
         "uploads" => uploads::run(folder, trouble),
--- a/review/standins/tests/store.rs
+++ b/review/standins/tests/store.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         http::{read_message, response, Message},
-        json::{base64, quote, Json},
+        json::{base64, from_base64, quote, Json},
     },
     std::{
         collections::{BTreeMap, HashSet},
@@ -52,6 +52,8 @@
     last_lease: u64,
     /// Machines that get no responses.
     silent: HashSet<usize>,
+    /// Machines that are told other addresses of the runners: each with the one that it is told.
+    views: BTreeMap<usize, Vec<(String, String)>>,
     away: bool,
     /// Connections in use, so that an outage can close them.
     open: Vec<TcpStream>,
@@ -129,6 +131,29 @@
         self.state.1.notify_all();
     }
 
+    /// Tells a machine other addresses of the runners, so that a proxy can stand on the path to them.
+    pub fn set_view(&self, machine: usize, addresses: Vec<(String, String)>) {
+        self.lock().views.insert(machine, addresses);
+    }
+
+    /// Returns a body as a machine gets it.
+    fn view(&self, machine: usize, body: String) -> String {
+        const VALUE: &str = "\"value\":\"";
+        let state = self.lock();
+        let Some(addresses) = state.views.get(&machine) else { return body };
+        let mut parts = body.split(VALUE);
+        let mut seen = parts.next().unwrap_or("").to_owned();
+        for part in parts {
+            let (value, rest) = part.split_once('"').unwrap_or((part, ""));
+            let mut text = from_base64(value);
+            for (real, told) in addresses {
+                text = text.replace(&format!("\"{real}\""), &format!("\"{told}\""));
+            }
+            seen += &format!("{VALUE}{}\"{rest}", base64(text.as_bytes()));
+        }
+        seen
+    }
+
     /// Keeps a copy of everything from now on every 100 ms.
     pub fn keep_copies(&self) {
         let store = self.clone();
@@ -222,6 +247,7 @@
         while let Ok(Some(request)) = read_message(&mut reader) {
             match self.handle(machine, &request) {
                 Reply::Answer(status, body) => {
+                    let body = self.view(machine, body);
                     let era = self.lock().era.to_string();
                     let headers =
                         [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
