--- a/review/standins/tests/other_host.rs
+++ b/review/standins/tests/other_host.rs
@@ -78,8 +78,7 @@
                 next += 1;
                 let path = format!("/puxa403/{machine}{next}");
                 let counts = judged.load(Ordering::Relaxed);
-                let (id, answer) =
-                    request(front, ("GET", &path), "", Duration::from_millis(2_000));
+                let (id, answer) = request(front, ("GET", &path), "", Duration::from_millis(2_000));
                 let status = answer.as_ref().map_or(0, |message| message.status());
                 record.line(&format!("edge-{machine} request {id} first route {path}: {status}"));
                 if counts {
@@ -95,10 +94,7 @@
             for (id, at) in deployment.take_ended_runners(&DOWN) {
                 let (name, starts) = id.rsplit_once('-').unwrap_or((&id, "0"));
                 let next = format!("{name}-{}", starts.parse().unwrap_or(0) + 1);
-                record.say(&format!(
-                    "runner {id} crashed at {:.3}; {next} starts",
-                    record.at(at)
-                ));
+                record.say(&format!("runner {id} crashed at {:.3}; {next} starts", record.at(at)));
                 deployment.start_runner(&next, CRASHING, 40);
             }
             thread::sleep(Duration::from_millis(10));
--- a/review/standins/tests/streams.rs
+++ b/review/standins/tests/streams.rs
@@ -166,7 +166,11 @@
             })
             .collect();
         let end = if stream.complete { "complete" } else { "not complete" };
-        record.line(&format!("a stream begun at edge-{} is {end}: {}", stream.machine, parts.join("; ")));
+        record.line(&format!(
+            "a stream begun at edge-{} is {end}: {}",
+            stream.machine,
+            parts.join("; ")
+        ));
     }
     let gaps = |s: &&Received| s.events.iter().enumerate().any(|(i, (id, _))| *id != i as u64 + 1);
     let resumed = streams.iter().filter(|s| !s.resumed.is_empty()).count();
