A watch of the routes that never returns is given up

Cause: an instance learned of changes by one call of up to 21 s. A connection on which an answer was lost stays open and returns nothing further, and TCP keep-alive does not help, as the peer is alive. No other call, and no other instance, had a say in how long that call was believed.

Change: two instances of a region (of a zone in large regions) make watches of one second. The others ask one of them once per second for the version of its routes and its age, counted from the question, so that a delayed message confirms nothing. A long watch is given up if nothing has confirmed the routes for 2.5 s, or if another instance has had a newer version for 0.2 s; the routes are then read. The two announce a new version at once. The number of calls per second grows by two, not with the number of instances.

--- a/core/src/mesh/extension.rs
+++ b/core/src/mesh/extension.rs
@@ -15,6 +15,12 @@
     /// Momentary pace of targets.
     #[prost(message, tag = "3")]
     TargetPace(TargetPace),
+    /// Asks for the version of the receiver's routes.
+    #[prost(message, tag = "4")]
+    RoutesQuery(RoutesQuery),
+    /// Version of the sender's routes.
+    #[prost(message, tag = "5")]
+    RoutesState(RoutesState),
 }
 
 impl Extension {
@@ -24,6 +30,8 @@
             Self::WorkspaceUse(_) => "workspace_use",
             Self::UsageCounts(_) => "usage_counts",
             Self::TargetPace(_) => "target_pace",
+            Self::RoutesQuery(_) => "routes_query",
+            Self::RoutesState(_) => "routes_state",
         }
     }
 }
@@ -121,3 +129,25 @@
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
 }
+
+/// Asks for the version of the receiver's routes.
+#[derive(Clone, PartialEq, Message)]
+pub struct RoutesQuery {
+    /// Number of the question in the sender's incarnation, from 1.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
+
+/// Version of the sender's routes.
+#[derive(Clone, PartialEq, Message)]
+pub struct RoutesState {
+    /// Number of the question that this answers; 0 if the sender was not asked.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Version of the routes; 0 if there are none.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Time in milliseconds since they were known to be the current ones; absent if they never were.
+    #[prost(uint64, optional, tag = "3")]
+    pub age_ms: Option<u64>,
+}
--- a/core/src/mesh/member_view.rs
+++ b/core/src/mesh/member_view.rs
@@ -362,10 +362,7 @@
     /// Returns the `count` other live instances of the own region that come first by the hash of
     /// `key` and name. They change little as instances come and go.
     pub fn first_by_hash(&self, key: &str, count: usize) -> Vec<MemberInfo> {
-        let members = self.live().map(|m| &m.info).filter(|m| m.region == self.me.region);
-        let mut ranked: Vec<_> = members.map(|m| (hash_with(key, &m.id), m)).collect();
-        ranked.sort_by_key(|(hash, _)| *hash);
-        ranked.into_iter().take(count).map(|(_, m)| m.clone()).collect()
+        self.first_if(key, count, |m| m.info.region == self.me.region)
     }
 
     /// Returns the part that this instance may give out of what all instances share, if it holds
@@ -386,6 +383,38 @@
         self.rank_if(duty, &self.me.region, here)
     }
 
+    /// Returns the rank of this instance for a duty among those with which it shares it: the alive
+    /// instances of the region or, if the view can't hold the region, of the availability zone, which
+    /// views hold whole, so that its instances agree.
+    pub fn shared_rank(&self, duty: &str) -> usize {
+        match self.is_full() {
+            true => self.rank_in_zone(duty),
+            false => self.rank_for(duty, &self.me.region),
+        }
+    }
+
+    /// Returns the `count` others that come first for a duty among those that
+    /// [`shared_rank`](Self::shared_rank) counts.
+    pub fn first_for(&self, duty: &str, count: usize) -> Vec<MemberInfo> {
+        let in_zone = self.is_full();
+        self.first_if(duty, count, |m| {
+            let near = m.info.region == self.me.region && (!in_zone || self.is_near(&m.info));
+            near && m.state == MemberState::Alive
+        })
+    }
+
+    fn first_if(
+        &self,
+        key: &str,
+        count: usize,
+        counts: impl Fn(&Member) -> bool,
+    ) -> Vec<MemberInfo> {
+        let members = self.live().filter(|m| counts(m)).map(|m| &m.info);
+        let mut ranked: Vec<_> = members.map(|m| (hash_with(key, &m.id), m)).collect();
+        ranked.sort_by_key(|(hash, _)| *hash);
+        ranked.into_iter().take(count).map(|(_, m)| m.clone()).collect()
+    }
+
     fn rank_if(&self, duty: &str, region: &Region, counts: impl Fn(&Member) -> bool) -> usize {
         let own = hash_with(duty, &self.me.id);
         self.live()
--- a/core/src/routes/freshness.rs
+++ b/core/src/routes/freshness.rs
@@ -1,4 +1,30 @@
-use {crate::clock::Time, std::time::Duration};
+use {
+    super::{AbandonReason, WatchVerdict},
+    crate::{clock::Time, ids::Revision},
+    std::time::Duration,
+};
+
+/// Longest time without a sign that the table is the current one, after which a pending watch counts
+/// as dead.
+pub const MAX_UNCONFIRMED: Duration = Duration::from_millis(2_500);
+/// Time in which a working watch reports a change after another instance has reported it.
+const REPORT_DELAY: Duration = Duration::from_millis(200);
+
+/// The table of another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerTable {
+    /// Its version.
+    pub version: Revision,
+    /// Time since it was known there to be the current one; `None` if it never was.
+    pub age: Option<Duration>,
+}
+
+/// A newer version at another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Announced {
+    version: Revision,
+    since: Time,
+}
 
 /// Knowledge of how current the route table is.
 ///
@@ -10,12 +36,68 @@
     confirmed: Option<Time>,
     /// When the pending watch was begun.
     watching: Option<Time>,
+    /// Newest version at another instance that no read has looked for.
+    announced: Option<Announced>,
+    /// Newest version for which a read has looked. This build may refuse that version.
+    sought: Revision,
 }
 
 impl TableFreshness {
+    /// Records that at `at` the table was the current one. A read or a watch that begins after that
+    /// shows it.
+    pub fn record_current(&mut self, at: Time) {
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
     /// Records that a read or a watch begun at `began` has returned the current table.
     pub fn record_read(&mut self, began: Time) {
-        self.confirmed = self.confirmed.max(Some(began));
+        self.record_current(began);
+        if let Some(announced) = self.announced.take_if(|a| a.since <= began) {
+            self.sought = announced.version;
+        }
+    }
+
+    /// Records the table of another instance, which `asked` for it. `own` is the version of the own
+    /// table. Without `asked` the message may have been delayed for any time, and confirms nothing.
+    pub fn record_peer(&mut self, own: Revision, peer: PeerTable, asked: Option<Time>, now: Time) {
+        if let (true, Some(asked), Some(age)) = (peer.version == own, asked, peer.age) {
+            self.record_current(asked.earlier(age));
+        }
+        self.announced = self.announced.filter(|a| a.version > own);
+        let since = self.announced.map_or(now, |a| a.since);
+        let known = self.announced.map_or(self.sought.max(own), |a| a.version);
+        if peer.version > known {
+            self.announced = Some(Announced { version: peer.version, since });
+        }
+    }
+
+    /// Decides about a watch that began at `began` and has not returned. `own` is the version of the
+    /// table in force.
+    ///
+    /// ```
+    /// use lentil_core::{clock::Time, ids::Revision, routes::*};
+    ///
+    /// let (mut freshness, own) = (TableFreshness::default(), Revision(4));
+    /// let [began, now] = [100, 300].map(Time::from_millis);
+    /// let verdict = freshness.judge_watch(own, began, now);
+    /// assert_eq!(verdict, WatchVerdict::KeepUntil(began + MAX_UNCONFIRMED));
+    /// freshness.record_peer(own, PeerTable { version: Revision(5), age: None }, None, now);
+    /// let verdict = freshness.judge_watch(own, began, Time::from_millis(500));
+    /// assert_eq!(verdict, WatchVerdict::Abandon(AbandonReason::Outdated(Revision(5))));
+    /// ```
+    pub fn judge_watch(&self, own: Revision, began: Time, now: Time) -> WatchVerdict {
+        let expiry = self.confirmed.max(Some(began)).unwrap_or(began) + MAX_UNCONFIRMED;
+        if now >= expiry {
+            return WatchVerdict::Abandon(AbandonReason::Unconfirmed(self.age(now)));
+        }
+        let Some(announced) = self.announced.filter(|a| a.version > own) else {
+            return WatchVerdict::KeepUntil(expiry);
+        };
+        let due = announced.since + REPORT_DELAY;
+        match now >= due {
+            true => WatchVerdict::Abandon(AbandonReason::Outdated(announced.version)),
+            false => WatchVerdict::KeepUntil(due.min(expiry)),
+        }
     }
 
     /// Records that a watch for changes begins.
@@ -31,7 +113,7 @@
     /// Records that the store has answered another call, which was begun at `began`.
     pub fn record_contact(&mut self, began: Time) {
         if self.watching.is_some_and(|since| since <= began) {
-            self.record_read(began);
+            self.record_current(began);
         }
     }
 
--- a/core/src/routes/mod.rs
+++ b/core/src/routes/mod.rs
@@ -5,10 +5,13 @@
 mod route;
 mod service;
 mod table;
+mod watch_verdict;
 mod workspaces;
 
-pub use {freshness::*, route::*, service::*, table::*, workspaces::*};
+pub use {freshness::*, route::*, service::*, table::*, watch_verdict::*, workspaces::*};
 
+#[cfg(test)]
+mod freshness_tests;
 #[cfg(test)]
 mod tests;
 #[cfg(test)]
--- a/core/tests/extensions.rs
+++ b/core/tests/extensions.rs
@@ -5,8 +5,8 @@
         ids::Incarnation,
         mesh::{
             open, open_extensions, seal_extensions, Extension, ExtensionEnvelope, FrameError,
-            PaceEntry, TargetPace, UsageCounts, VersionRange, WindowCounts, WorkspaceCount,
-            WorkspaceEntry, WorkspaceUse, MAX_DATAGRAM_BYTES,
+            PaceEntry, RoutesQuery, RoutesState, TargetPace, UsageCounts, VersionRange,
+            WindowCounts, WorkspaceCount, WorkspaceEntry, WorkspaceUse, MAX_DATAGRAM_BYTES,
         },
         order::Holder,
     },
@@ -31,6 +31,8 @@
         Extension::TargetPace(TargetPace {
             entries: vec![PaceEntry { target: "e7".into(), pace: 250, age_ms: 40 }],
         }),
+        Extension::RoutesQuery(RoutesQuery { number: 9 }),
+        Extension::RoutesState(RoutesState { number: 9, version: 4_300, age_ms: Some(820) }),
     ]
 }
 
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -33,7 +33,10 @@
         ids::Revision,
         limit::ResendLimit,
         manifest::{ManifestIndex, ManifestRecord},
-        mesh::{Announcement, DetectorTiming, LimitNote, MemberInfo, MemberView, VersionRange},
+        mesh::{
+            Announcement, DetectorTiming, LimitNote, MemberInfo, MemberView, Reply, RoutesState,
+            VersionRange,
+        },
         order::Holder,
         poison::Quarantine,
         reach::ReachTable,
@@ -104,7 +107,11 @@
     /// Builds and protocol versions that other instances announced.
     pub peer_versions: PeerVersions,
     /// Questions to other instances that wait for an answer.
-    pub questions: Questions,
+    pub questions: Questions<Reply>,
+    /// Questions for the routes of other instances that wait for an answer.
+    pub route_questions: Questions<RoutesState>,
+    /// Notified when what is known of other instances' routes has changed.
+    pub peer_routes: Notify,
     /// Socket for datagrams to other instances, once it is bound.
     pub socket: OnceLock<Arc<UdpSocket>>,
     /// Leases of the cells that this instance holds.
@@ -206,6 +213,8 @@
             limits_changed: Notify::new(),
             limit_notes: Mutex::default(),
             questions: Questions::default(),
+            route_questions: Questions::default(),
+            peer_routes: Notify::new(),
             investigations: Mutex::default(),
             links: RelayLinks::new(settings.limits.open),
             reach_changed: watch::Sender::default(),
@@ -355,6 +364,11 @@
         routes.ok_or_else(|| Fault::new(ErrorKind::NotReady, "no routes are known yet"))
     }
 
+    /// Returns the version of the active routes; zero before there are any.
+    pub fn route_version(&self) -> Revision {
+        self.routes().map_or(Revision(0), |table| table.version)
+    }
+
     /// Locks the knowledge of how current the routes are. No other lock is taken meanwhile.
     pub fn table_freshness(&self) -> MutexGuard<'_, TableFreshness> {
         lock(&self.table_freshness)
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -93,6 +93,7 @@
         tokio::spawn(mesh::announce_limits(app.clone())),
         tokio::spawn(mesh::share_stream_origins(app.clone())),
         tokio::spawn(mesh::report_workspace_use(app.clone())),
+        tokio::spawn(mesh::compare_routes(app.clone())),
         tokio::spawn(reach::watch_reach(app.clone())),
         tokio::spawn(follow::follow_list(app.clone())),
         tokio::spawn(follow::follow_targets(app.clone(), directory.clone())),
--- a/node/src/follow/relay/mod.rs
+++ b/node/src/follow/relay/mod.rs
@@ -27,20 +27,11 @@
 }
 
 /// Returns whether this instance watches the directory for its region, or for its availability zone
-/// if the view can't hold the region: views hold the whole zone, so that its instances agree, and the
-/// watcher reaches all of them.
+/// if the view can't hold the region.
 ///
 /// Instances whose member views differ may both do so; that only costs additional reads.
 pub(super) fn is_region_watcher(app: &App) -> bool {
-    if !is_crowded(app) {
-        return false;
-    }
-    let view = app.member_view();
-    let rank = match view.is_full() {
-        true => view.rank_in_zone("targets"),
-        false => view.rank_for("targets", &app.settings.region),
-    };
-    rank == 0
+    is_crowded(app) && app.member_view().shared_rank("targets") == 0
 }
 
 /// The latest changes that this instance read, to be sent to the others of its region.
--- a/node/src/mesh/ask.rs
+++ b/node/src/mesh/ask.rs
@@ -24,18 +24,25 @@
 const MAX_TRIES: u32 = 2;
 
 /// Questions of this instance that wait for an answer.
-#[derive(Debug, Default)]
-pub struct Questions {
+#[derive(Debug)]
+pub struct Questions<R> {
     latest: AtomicU64,
-    waiting: Mutex<HashMap<u64, oneshot::Sender<Reply>>>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<R>>>,
 }
 
-impl Questions {
-    fn waiting(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Reply>>> {
+impl<R> Default for Questions<R> {
+    fn default() -> Self {
+        Self { latest: AtomicU64::default(), waiting: Mutex::default() }
+    }
+}
+
+impl<R> Questions<R> {
+    fn waiting(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<R>>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn begin(&self) -> (Waiting<'_>, oneshot::Receiver<Reply>) {
+    /// Begins a question; its answer arrives at the receiver.
+    pub(super) fn begin(&self) -> (Waiting<'_, R>, oneshot::Receiver<R>) {
         let number = self.latest.fetch_add(1, Ordering::Relaxed) + 1;
         let (sender, receiver) = oneshot::channel();
         self.waiting().insert(number, sender);
@@ -43,7 +50,7 @@
     }
 
     /// Passes an answer on to the task that waits for it; later answers have no effect.
-    pub(super) fn record_reply(&self, number: u64, reply: Reply) {
+    pub(super) fn record_reply(&self, number: u64, reply: R) {
         if let Some(sender) = self.waiting().remove(&number) {
             // The task may have stopped waiting.
             let _ = sender.send(reply);
@@ -52,12 +59,12 @@
 }
 
 /// A question that waits for its answer until this is dropped.
-struct Waiting<'a> {
-    questions: &'a Questions,
-    number: u64,
+pub(super) struct Waiting<'a, R> {
+    questions: &'a Questions<R>,
+    pub(super) number: u64,
 }
 
-impl Drop for Waiting<'_> {
+impl<R> Drop for Waiting<'_, R> {
     fn drop(&mut self) {
         self.questions.waiting().remove(&self.number);
     }
--- a/node/src/mesh/extensions.rs
+++ b/node/src/mesh/extensions.rs
@@ -1,6 +1,8 @@
 use {
     super::{
-        target_pace::record_target_pace, usage_counts::record_usage_counts,
+        routes::{answer_routes_query, record_routes_state},
+        target_pace::record_target_pace,
+        usage_counts::record_usage_counts,
         workspace_use::record_workspace_use,
     },
     crate::app::App,
@@ -79,6 +81,8 @@
             Extension::WorkspaceUse(message) => record_workspace_use(app, from, address, message),
             Extension::UsageCounts(message) => record_usage_counts(app, from, address, message),
             Extension::TargetPace(message) => record_target_pace(app, from, address, message),
+            Extension::RoutesQuery(message) => answer_routes_query(app, from, address, message),
+            Extension::RoutesState(message) => record_routes_state(app, from, message),
         }
     }
 }
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -12,6 +12,7 @@
 mod peer_versions;
 mod refusals;
 mod request;
+mod routes;
 mod send;
 mod streams;
 mod target_pace;
@@ -34,6 +35,7 @@
     peer_versions::PeerVersions,
     refusals::Refusals,
     request::{request, RequestError},
+    routes::{announce_routes, compare_routes, is_route_watcher},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
     workspace_use::report_workspace_use,
 };
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -85,6 +85,10 @@
     pub held_targets: IntGauge,
     /// Milliseconds since this instance last read the directory or got its changes relayed.
     pub directory_age: IntGauge,
+    /// Milliseconds since the routes were known to be the current ones; -1 if they never were.
+    pub routes_age: IntGauge,
+    /// Watches of the routes that were given up, by reason.
+    pub abandoned_watches: IntCounterVec,
     /// Other instances that the failure detector considers alive.
     pub members: IntGauge,
     /// Attempts by target and end; targets beyond [`MAX_LABELLED_TARGETS`] share one label.
@@ -282,6 +286,15 @@
                 "lentil_directory_age_ms",
                 "Milliseconds since the directory told of targets",
             ),
+            routes_age: gauge(
+                "lentil_routes_age_ms",
+                "Milliseconds since the routes were known to be the current ones",
+            ),
+            abandoned_watches: counters(
+                "lentil_route_watches_abandoned_total",
+                "Watches of the routes that were given up",
+                &["reason"],
+            ),
             members: gauge("lentil_members", "Other instances that are thought to live"),
             attempts: counters("lentil_answers_total", "Answers of targets", &["target", "end"]),
             queue_wait: times("lentil_queue_wait_seconds", "Wait expected in queues at admission"),
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -72,6 +72,8 @@
     app.metrics.leaving_targets.set(leaving);
     app.metrics.held_targets.set(held);
     app.metrics.directory_age.set(age as i64);
+    let routes_age = app.table_freshness().age(app.now());
+    app.metrics.routes_age.set(i64::try_from(routes_age.as_millis()).unwrap_or(-1));
     app.metrics.retain_targets(|target| known.contains(target));
     app.metrics.resends_left.set(app.admission().resends_left(size, now));
     app.metrics.resident_bytes.set(resident_bytes());
