Renewals of the lease no longer confirm the routes

Seen in a test: a key that the operator had removed was accepted for 5.7 s (bound 4 s, with `strict`) while the store answered renewals, but neither the pending watch nor reads of the configuration.

Cause: each answered renewal counted as a proof that the pending watch would have reported a change. It is none: a watch whose answer was lost, or whose request never arrived, stays pending while all other calls are answered.

Change: the age of the routes counts from the beginning of a read or a watch that has returned, from the end of a watch that has waited for its whole time, and from another instance's answer of the same version, less its age.

The unit test age_counts_from_the_last_call_that_shows_the_table_current asserted the false rule; it now has the same checks for what does confirm the routes.

--- a/core/src/routes/freshness.rs
+++ b/core/src/routes/freshness.rs
@@ -28,14 +28,12 @@
 
 /// Knowledge of how current the route table is.
 ///
-/// The table is followed by long watches, which send nothing while nothing changes. Meanwhile each
-/// other call that the store answers shows that the watch would have reported a change.
+/// Only reads and watches that have returned, and other instances' answers, count. A pending watch
+/// shows nothing: the store may answer all other calls, and its connection return nothing further.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TableFreshness {
     /// When the table was last known to be the current one.
     confirmed: Option<Time>,
-    /// When the pending watch was begun.
-    watching: Option<Time>,
     /// Newest version at another instance that no read has looked for.
     announced: Option<Announced>,
     /// Newest version for which a read has looked. This build may refuse that version.
@@ -100,23 +98,6 @@
         }
     }
 
-    /// Records that a watch for changes begins.
-    pub fn record_watch(&mut self, now: Time) {
-        self.watching = Some(now);
-    }
-
-    /// Records that a read or a watch has failed.
-    pub fn record_failure(&mut self) {
-        self.watching = None;
-    }
-
-    /// Records that the store has answered another call, which was begun at `began`.
-    pub fn record_contact(&mut self, began: Time) {
-        if self.watching.is_some_and(|since| since <= began) {
-            self.record_current(began);
-        }
-    }
-
     /// Returns the time since the table was known to be the current one; the longest possible one
     /// if it never was.
     ///
--- a/core/src/routes/workspace_tests.rs
+++ b/core/src/routes/workspace_tests.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::Time,
         error::ErrorKind,
-        ids::{Millis, Rank, Zone},
+        ids::{Millis, Rank, Revision, Zone},
         settings::KeySettings,
     },
     std::time::Duration,
@@ -107,17 +107,20 @@
 #[test]
 fn age_counts_from_the_last_call_that_shows_the_table_current() {
     let at = Time::from_millis;
+    let (own, current) = (Revision(4), Some(Duration::ZERO));
     let mut freshness = TableFreshness::default();
     assert_eq!(freshness.age(at(5)), Duration::MAX);
-    freshness.record_contact(at(5));
-    assert_eq!(freshness.age(at(5)), Duration::MAX, "no watch would have reported a change");
+    let newer = PeerTable { version: Revision(5), age: current };
+    freshness.record_peer(own, newer, Some(at(5)), at(6));
+    assert_eq!(freshness.age(at(6)), Duration::MAX, "the other table is a newer one");
     freshness.record_read(at(10));
-    freshness.record_watch(at(20));
-    freshness.record_contact(at(15));
-    assert_eq!(freshness.age(at(30)), Duration::from_millis(20), "begun before the watch");
-    freshness.record_contact(at(25));
+    let same = PeerTable { version: own, age: current };
+    freshness.record_peer(own, same, None, at(25));
+    assert_eq!(freshness.age(at(30)), Duration::from_millis(20), "the message may be old");
+    freshness.record_peer(own, same, Some(at(25)), at(30));
     assert_eq!(freshness.age(at(30)), Duration::from_millis(5));
-    freshness.record_failure();
-    freshness.record_contact(at(40));
-    assert_eq!(freshness.age(at(45)), Duration::from_millis(20), "the watch has failed");
+    freshness.record_read(at(20));
+    assert_eq!(freshness.age(at(45)), Duration::from_millis(20), "an earlier read returns late");
+    freshness.record_current(at(40));
+    assert_eq!(freshness.age(at(45)), Duration::from_millis(5));
 }
--- a/node/src/follow/routes.rs
+++ b/node/src/follow/routes.rs
@@ -35,20 +35,16 @@
             false => WATCH_TIMEOUT,
         };
         let found = match read_at {
-            Some(after) => {
-                app.table_freshness().record_watch(began);
-                tokio::select! {
-                    found = directory.newer_routes(after, wait) => found,
-                    reason = abandoned(&app, began, wait) => {
-                        let waited = (app.now() - began).as_millis();
-                        log::info!("routes: watch abandoned after {waited} ms: {reason}");
-                        app.metrics.abandoned_watches.with_label_values(&[reason.label()]).inc();
-                        app.table_freshness().record_failure();
-                        read_at = read_at.filter(|_| reason == AbandonReason::Duty);
-                        continue;
-                    }
+            Some(after) => tokio::select! {
+                found = directory.newer_routes(after, wait) => found,
+                reason = abandoned(&app, began, wait) => {
+                    let waited = (app.now() - began).as_millis();
+                    log::info!("routes: watch abandoned after {waited} ms: {reason}");
+                    app.metrics.abandoned_watches.with_label_values(&[reason.label()]).inc();
+                    read_at = read_at.filter(|_| reason == AbandonReason::Duty);
+                    continue;
                 }
-            }
+            },
             None => directory.routes().await,
         };
         match found {
@@ -85,7 +81,6 @@
                     log::warn!("routes: store lost: {error}");
                 }
                 failing = true;
-                app.table_freshness().record_failure();
                 read_at = None;
                 sleep(backoff.record_failure(rand::random())).await;
             }
