--- a/node/src/follow/targets.rs
+++ b/node/src/follow/targets.rs
@@ -22,8 +22,8 @@
 /// Targets renew their entries often and each watch is a counted call, so that watching without a
 /// delay would cost many calls.
 const WATCH_DELAY_SHARE: f64 = 0.6;
-/// Longest wait of one watch.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest wait of one watch. One that hangs is noticed, and the targets are read, within the bound.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// First delay after a failed read: calls are counted during an outage as well.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 /// Longest delay after failed reads: a change that an outage hid must be known within the bound
