An answer clears its request of crashes at all instances, for good

Cause: an answer cleared the request of the first crash only at the instance that had got it. Gossip carries no age, so that the others brought the crash back as a new one, and gossiped it again. Parts of prompts had a memory of answers against this, requests had none.

Change: one mechanism for both.

The unit test clear_lifts_isolation_but_not_quarantine asserted that a quarantined request stays so after an answer. That is the fault: no request that crashes its targets is answered. Its successor checks that an answer lifts both, and that no report of the crashes before it has an effect.

Result: request_answered_between_two_crashes_is_served_after_them failed before (0 served), and passes.

--- a/core/src/mesh/extension.rs
+++ b/core/src/mesh/extension.rs
@@ -21,6 +21,9 @@
     /// Version of the sender's routes.
     #[prost(message, tag = "5")]
     RoutesState(RoutesState),
+    /// Requests that were blamed for crashes, and which targets have answered.
+    #[prost(message, tag = "6")]
+    ClearedRequests(ClearedRequests),
 }
 
 impl Extension {
@@ -32,6 +35,7 @@
             Self::TargetPace(_) => "target_pace",
             Self::RoutesQuery(_) => "routes_query",
             Self::RoutesState(_) => "routes_state",
+            Self::ClearedRequests(_) => "cleared_requests",
         }
     }
 }
@@ -151,3 +155,11 @@
     #[prost(uint64, optional, tag = "3")]
     pub age_ms: Option<u64>,
 }
+
+/// Requests that were blamed for crashes of targets, and which targets have answered completely.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClearedRequests {
+    /// Fingerprints of the requests, in any order.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub requests: Vec<u64>,
+}
--- a/core/src/poison/mod.rs
+++ b/core/src/poison/mod.rs
@@ -1,13 +1,13 @@
 //! Quarantine of requests, and of parts of prompts, that crash the targets that run them.
 
-mod cleared_parts;
+mod cleared;
 mod fingerprint;
 mod isolation;
 mod quarantine;
 mod subject;
 mod verdict;
 
-pub use {cleared_parts::*, isolation::*, quarantine::*, subject::*, verdict::*};
+pub use {cleared::*, isolation::*, quarantine::*, subject::*, verdict::*};
 
 #[cfg(test)]
 mod tests;
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ClearedParts, Subject},
+    super::{ClearedSubjects, Subject},
     crate::{
         clock::Time,
         ids::{EngineId, Fingerprint, Incarnation, PrefixHash},
@@ -123,13 +123,13 @@
 
 /// Requests, and parts of their prompts, that were in work on targets when these crashed.
 ///
-/// A part is blamed for a crash unless a target has completed an answer on it lately, and cleared as
-/// soon as one does: of those that run beside each other, only the part that crashes targets is left
-/// with several crashes.
+/// One is blamed for a crash unless a target has completed an answer on it lately, and cleared as soon
+/// as one does: of those that run beside each other, only the one that crashes targets is left with
+/// several crashes.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Subject, Suspect>,
-    cleared: ClearedParts,
+    cleared: ClearedSubjects,
 }
 
 impl Quarantine {
@@ -144,10 +144,7 @@
 
     /// Returns the quarantined ones among the parts.
     pub fn quarantined_parts(&self, parts: &[PrefixHash], now: Time) -> SmallVec<[PrefixHash; 2]> {
-        let quarantined = |part: PrefixHash| {
-            self.restricted(part.into(), now).is_some_and(|s| s.is_quarantined(part.into()))
-        };
-        parts.iter().copied().filter(|part| quarantined(*part)).collect()
+        parts.iter().copied().filter(|part| self.is_quarantined((*part).into(), now)).collect()
     }
 
     /// Takes the next trial of quarantined parts, if one is due at `now` for all of them. Of all
@@ -178,7 +175,7 @@
     }
 
     /// Like [`record_crash`](Self::record_crash), for a crash that happened `age` ago. One that is
-    /// older than the retention is ignored, and so is one of a part that is cleared.
+    /// older than the retention is ignored, and so is one of which the subject is cleared.
     pub fn record_past_crash(
         &mut self,
         subject: impl Into<Subject>,
@@ -188,7 +185,7 @@
     ) -> bool {
         let subject = subject.into();
         let ends = now + SUSPECT_RETENTION.saturating_sub(age);
-        if ends <= now || self.is_cleared(subject, now) {
+        if ends <= now || self.is_cleared_of(subject, &crash, age, now) {
             return false;
         }
         let fresh = || Suspect { crashes: SmallVec::new(), ends, found: false, tried: None };
@@ -205,29 +202,34 @@
         true
     }
 
-    /// Returns whether a target has completed an answer on a part lately.
+    /// Returns whether a target has completed an answer on the subject lately.
     pub fn is_cleared(&mut self, subject: Subject, now: Time) -> bool {
-        match subject {
-            Subject::Request(_) => false,
-            Subject::Part(part) => self.cleared.contains(part, now),
-        }
+        self.cleared.contains(subject, now)
     }
 
-    /// Records that a target has completed an answer on these parts; returns those that were blamed
-    /// for crashes until now.
-    pub fn clear_parts(&mut self, parts: &[PrefixHash], now: Time) -> SmallVec<[PrefixHash; 2]> {
-        parts.iter().for_each(|part| self.cleared.insert(*part, now));
-        let mut was_blamed = |part: &PrefixHash| self.suspects.remove(&(*part).into()).is_some();
-        parts.iter().copied().filter(|part| was_blamed(part)).collect()
+    /// Returns whether the subject is cleared of a crash that happened `age` ago.
+    pub fn is_cleared_of(
+        &mut self,
+        subject: Subject,
+        crash: &Crash,
+        age: Duration,
+        now: Time,
+    ) -> bool {
+        self.cleared.covers(subject, crash, now.earlier(age), now)
     }
 
-    /// Removes a request whose isolated run has completed: it ran on the target beside the request
-    /// that caused the crash. A quarantined one stays.
-    pub fn clear(&mut self, request: Fingerprint) {
-        let subject = Subject::Request(request);
-        if self.suspects.get(&subject).is_some_and(|s| !s.is_quarantined(subject)) {
-            self.suspects.remove(&subject);
+    /// Records that a target has completed an answer on these subjects; returns those that were
+    /// blamed for crashes until now.
+    pub fn clear(&mut self, subjects: &[Subject], now: Time) -> SmallVec<[Subject; 2]> {
+        let mut blamed = SmallVec::new();
+        for subject in subjects {
+            self.cleared.insert(*subject, now);
+            if let Some(suspect) = self.suspects.remove(subject) {
+                self.cleared.lift(*subject, suspect.crashes.into_iter().map(|c| c.crash), now);
+                blamed.push(*subject);
+            }
         }
+        blamed
     }
 
     /// Returns the crashes of the quarantined requests and parts, with the time since each.
@@ -262,6 +264,11 @@
         self.suspects.get(&subject).is_some_and(|s| s.found)
     }
 
+    /// Returns whether the subject is quarantined.
+    pub fn is_quarantined(&self, subject: Subject, now: Time) -> bool {
+        self.restricted(subject, now).is_some_and(|s| s.is_quarantined(subject))
+    }
+
     /// Returns whether a request or part is quarantined and this instance found one of its crashes.
     /// A few instances at most do so; they store the quarantine for all.
     pub fn is_found(&self, subject: Subject) -> bool {
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -1,12 +1,13 @@
 use {
-    super::{broadcast, request, send_datagram},
+    super::{broadcast, broadcast_extension, request, send_datagram, send_extension},
     crate::app::App,
     lentil_core::{
         clock::Time,
-        ids::{InstanceId, Millis, PrefixHash},
-        mesh::{CrashNote, Message, Update},
+        ids::{Fingerprint, InstanceId, Millis, PrefixHash},
+        mesh::{ClearedRequests, CrashNote, Extension, Message, Update},
         poison::{Crash, QuarantineDigest, Subject},
     },
+    smallvec::SmallVec,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -14,6 +15,8 @@
 const MIN_PULL_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of notes that fit one datagram, also with the longest names.
 const NOTES_PER_DATAGRAM: usize = 6;
+/// Number of cleared subjects that fit one datagram.
+const CLEARED_PER_DATAGRAM: usize = 100;
 
 /// Records a crash that this instance has found, and tells all members of its view at once. Gossip
 /// reaches the instances beyond the view, and those that missed the datagram.
@@ -33,8 +36,8 @@
     }
 }
 
-/// Records crashes that another instance has found, and answers with the parts among their subjects
-/// that targets have answered here since.
+/// Records crashes that another instance has found, and answers with those of their subjects that are
+/// cleared of them here.
 pub(super) async fn record_crashes(
     app: &App,
     address: SocketAddr,
@@ -43,16 +46,43 @@
 ) {
     let now = app.now();
     notes.iter().for_each(|note| record_reported_crash(app, note, now));
-    let cleared: Vec<PrefixHash> = notes
-        .iter()
-        .filter_map(|note| match note.subject {
-            Subject::Part(part) => app.quarantine().is_cleared(note.subject, now).then_some(part),
-            Subject::Request(_) => None,
-        })
-        .collect();
-    if !cleared.is_empty() {
-        send_datagram(app, address, from, Message::ClearedParts(cleared)).await;
+    let is_cleared = |note: &&CrashNote| {
+        let (crash, age) = (&note.crash, note.age.duration());
+        app.quarantine().is_cleared_of(note.subject, crash, age, now)
+    };
+    let cleared: Vec<Subject> = notes.iter().filter(is_cleared).map(|n| n.subject).collect();
+    for (parts, requests) in cleared.chunks(CLEARED_PER_DATAGRAM).map(split) {
+        if !parts.is_empty() {
+            send_datagram(app, address, from.clone(), Message::ClearedParts(parts)).await;
+        }
+        let member = || {
+            let view = app.member_view();
+            let found = view.live().find(|m| m.info.address == address);
+            found.map(|m| m.info.id.clone())
+        };
+        if let Some(to) = from.clone().or_else(member).filter(|_| !requests.is_empty()) {
+            let message = Extension::ClearedRequests(ClearedRequests { requests });
+            send_extension(app, address, &to, message).await;
+        }
+    }
+}
+
+/// Splits subjects into parts and the fingerprints of requests, which are sent in different messages.
+fn split(subjects: &[Subject]) -> (Vec<PrefixHash>, Vec<u64>) {
+    let (mut parts, mut requests) = (Vec::new(), Vec::new());
+    for subject in subjects {
+        match subject {
+            Subject::Part(part) => parts.push(*part),
+            Subject::Request(request) => requests.push(request.0),
+        }
     }
+    (parts, requests)
+}
+
+/// Clears requests that targets have answered at another instance.
+pub(super) fn record_cleared_requests(app: &Arc<App>, message: &ClearedRequests) {
+    let requests = message.requests.iter().map(|request| Fingerprint(*request).into());
+    clear_blame(app, &requests.collect::<Vec<_>>(), ReportedBy::Instance);
 }
 
 /// Records a crash that another instance has found.
@@ -64,7 +94,7 @@
     }
 }
 
-/// Where the news of a completed answer on parts of prompts comes from.
+/// Where the news of a completed answer comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportedBy {
     /// A target, to this instance.
@@ -73,30 +103,40 @@
     Instance,
 }
 
-/// Clears parts of blame for crashes. All instances learn of it from the one that a target has told,
-/// or that had found the crashes.
-pub fn clear_parts(app: &Arc<App>, parts: &[PrefixHash], reported: ReportedBy) {
+/// Clears requests and parts of blame for crashes. All instances learn of it from the one that a
+/// target has told, or that had found the crashes.
+pub fn clear_blame(app: &Arc<App>, subjects: &[Subject], reported: ReportedBy) {
     let mut news = Vec::new();
     {
         let now = app.now();
         let mut quarantine = app.quarantine();
-        let quarantined = quarantine.quarantined_parts(parts, now);
-        let found: Vec<PrefixHash> =
-            parts.iter().copied().filter(|p| quarantine.was_found((*p).into())).collect();
-        for part in quarantine.clear_parts(parts, now) {
-            log::info!("poison: {} cleared, a target has answered", Subject::Part(part));
-            if reported == ReportedBy::Target || found.contains(&part) {
-                news.push(part);
+        let was_quarantined = subjects.iter().any(|s| quarantine.is_quarantined(*s, now));
+        let found: SmallVec<[Subject; 2]> =
+            subjects.iter().copied().filter(|s| quarantine.was_found(*s)).collect();
+        for subject in quarantine.clear(subjects, now) {
+            log::info!("poison: {subject} cleared, a target has answered");
+            if reported == ReportedBy::Target || found.contains(&subject) {
+                news.push(subject);
             }
         }
-        if !quarantined.is_empty() {
+        if was_quarantined {
             app.quarantine_found.notify_one();
         }
     }
-    if !news.is_empty() {
-        let app = app.clone();
-        tokio::spawn(async move { broadcast(&app, Message::ClearedParts(news)).await });
+    if news.is_empty() {
+        return;
     }
+    let app = app.clone();
+    tokio::spawn(async move {
+        let (parts, requests) = split(&news);
+        if !parts.is_empty() {
+            broadcast(&app, Message::ClearedParts(parts)).await;
+        }
+        if !requests.is_empty() {
+            let message = Extension::ClearedRequests(ClearedRequests { requests });
+            broadcast_extension(&app, &message).await;
+        }
+    });
 }
 
 fn store_if_found(app: &App, subject: Subject) {
--- a/node/src/mesh/extensions.rs
+++ b/node/src/mesh/extensions.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        crash_news::record_cleared_requests,
         routes::{answer_routes_query, record_routes_state},
         target_pace::record_target_pace,
         usage_counts::record_usage_counts,
@@ -83,6 +84,7 @@
             Extension::TargetPace(message) => record_target_pace(app, from, address, message),
             Extension::RoutesQuery(message) => answer_routes_query(app, from, address, message),
             Extension::RoutesState(message) => record_routes_state(app, from, message),
+            Extension::ClearedRequests(message) => record_cleared_requests(app, &message),
         }
     }
 }
--- a/node/src/mesh/handlers.rs
+++ b/node/src/mesh/handlers.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         crash_news::{
-            clear_parts, pull_quarantine, quarantine_notes, record_crashes, record_reported_crash,
+            clear_blame, pull_quarantine, quarantine_notes, record_crashes, record_reported_crash,
             ReportedBy,
         },
         heartbeat::send_heartbeat,
@@ -18,6 +18,7 @@
         ids::{Millis, Revision},
         manifest::Role,
         mesh::{CrashNote, Envelope, Heartbeat, Message, PullReply, Question, Reply, Update},
+        poison::Subject,
     },
     std::{net::SocketAddr, sync::Arc},
 };
@@ -68,7 +69,10 @@
         Message::Crashes(notes) => {
             record_crashes(app, address, Some(envelope.from.instance), &notes).await;
         }
-        Message::ClearedParts(parts) => clear_parts(app, &parts, ReportedBy::Instance),
+        Message::ClearedParts(parts) => {
+            let parts: Vec<Subject> = parts.into_iter().map(Subject::from).collect();
+            clear_blame(app, &parts, ReportedBy::Instance);
+        }
         Message::QuarantineDigest(digest) => pull_quarantine(app, address, digest),
         Message::Limits(notes) => record_limits(app, &envelope.from.instance, &notes),
         Message::StreamOrigins(notes) => record_stream_origins(app, notes),
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use usage_counts::{broadcast_usage, send_usage};
 pub use {
     ask::Questions,
-    crash_news::{clear_parts, report_crash, ReportedBy},
+    crash_news::{clear_blame, report_crash, ReportedBy},
     extensions::{broadcast_extension, send_extension},
     frame_codec::{FrameCodec, Received},
     heartbeat::{announce_leave, contact, send_heartbeats},
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -2,7 +2,7 @@
     super::task::Task,
     crate::{
         app::App,
-        mesh::{clear_parts, report_crash, ReportedBy},
+        mesh::{clear_blame, report_crash, ReportedBy},
         ports::{EngineError, Target},
         reach::probe_some,
     },
@@ -15,6 +15,7 @@
         ids::{EngineId, Incarnation},
         poison::{Crash, OtherTargets, Subject, Verdict},
     },
+    smallvec::SmallVec,
     std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::time::sleep,
 };
@@ -109,17 +110,14 @@
     }
 
     /// Returns the request and the parts of its prompt, to which a crash may be due.
-    fn subjects(&self) -> Vec<Subject> {
+    fn subjects(&self) -> SmallVec<[Subject; 8]> {
         let parts = self.request.shared_parts().iter().copied().map(Subject::from);
         [self.request.fingerprint.into()].into_iter().chain(parts).collect()
     }
 
-    /// Clears the parts of the prompt of all blame: a target has completed an answer on them.
-    pub(super) fn clear_parts(&self) {
-        let parts = self.request.shared_parts();
-        if !parts.is_empty() {
-            clear_parts(&self.app, parts, ReportedBy::Target);
-        }
+    /// Clears the request and the parts of its prompt of all blame: a target has completed the answer.
+    pub(super) fn clear_blame(&self) {
+        clear_blame(&self.app, &self.subjects(), ReportedBy::Target);
     }
 
     /// Returns whether a target has sent neither a piece of this answer nor another answer for
@@ -133,7 +131,7 @@
 }
 
 /// Finds out whether a target that lost an answer has crashed, and reports the crash if so.
-async fn investigate(app: Arc<App>, subjects: Vec<Subject>, target: Target) {
+async fn investigate(app: Arc<App>, subjects: SmallVec<[Subject; 8]>, target: Target) {
     let began = app.now();
     let (verdict, others) = join_investigation(&app, &target).await;
     let now = app.now();
--- a/node/src/run/proxied.rs
+++ b/node/src/run/proxied.rs
@@ -82,8 +82,7 @@
             metrics.record_workspace_end(request.workspace.as_ref(), missed.unwrap_or("good"));
         }
         if good {
-            self.app.quarantine().clear(request.fingerprint);
-            self.clear_parts();
+            self.clear_blame();
         }
         // Requests without a prompt are plain ones: their duration is a slot's service time.
         if request.routing.prompt.0 == 0 && good {
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -179,8 +179,7 @@
         }
         let (app, request) = (&self.app, &self.request);
         let now = app.now();
-        app.quarantine().clear(request.fingerprint);
-        self.clear_parts();
+        self.clear_blame();
         let length = Tokens(self.sent_tokens.len() as u64);
         app.admission().record_output(&request.routing.model, length);
         let class = &request.routing.class;
