A request is identified by its workspace, service and method too

Cause: the fingerprint was that of path and body alone.

Change: it holds the workspace, or that there is none, the service, the method, path with query, and body; for our own interface the workspace as well. A relayed request carries a checksum of path and body as before, and the receiver computes the fingerprint itself, so that messages of version 1 stay as they are.

--- a/core/src/mesh/message.rs
+++ b/core/src/mesh/message.rs
@@ -108,8 +108,8 @@
     pub path: String,
     /// Headers, without those that concern one connection only.
     pub headers: Vec<(String, Vec<u8>)>,
-    /// Hash of path and body.
-    pub fingerprint: Fingerprint,
+    /// Hash of path and body, by which the receiver sees that they are unchanged.
+    pub checksum: Fingerprint,
     /// Route by which the sender serves the request.
     pub route: Route,
     /// Version of the sender's routes.
--- a/core/tests/recorded/values.rs
+++ b/core/tests/recorded/values.rs
@@ -108,7 +108,7 @@
         method: "POST".into(),
         path: "/v1/run?x=1".into(),
         headers: vec![("host".into(), b"api.example".to_vec()), ("x-bin".into(), vec![0, 255])],
-        fingerprint: Fingerprint(0xfeed_beef_0102_0304),
+        checksum: Fingerprint(0xfeed_beef_0102_0304),
         route: route(),
         version: Revision(4_711),
         routing: routing(full),
--- a/daemon/tests/poison.rs
+++ b/daemon/tests/poison.rs
@@ -115,7 +115,7 @@
 
 /// Fingerprint of a [`completion`] of `text`.
 fn fingerprint(text: &str) -> Fingerprint {
-    Fingerprint::of(&[b"vuurbol-groot", b"", text.as_bytes(), &40_u32.to_le_bytes()])
+    Fingerprint::of(&[b"hemelwacht", b"vuurbol-groot", b"", text.as_bytes(), &40_u32.to_le_bytes()])
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -50,6 +50,7 @@
     let (name, class) = request.class()?;
     let adapter = resolved.adapter.as_ref().map_or("", |a| a.as_str());
     let fingerprint_parts = [
+        request.spec.workspace.as_str().as_bytes(),
         resolved.model.as_str().as_bytes(),
         adapter.as_bytes(),
         params.prompt.as_bytes(),
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -8,7 +8,7 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, BlockLengths},
-        ids::{CallerId, Fingerprint, ModelId, Tokens},
+        ids::{CallerId, ModelId, Tokens},
         route::RoutingRequest,
         routes::{Route, RouteTable, Workspace},
     },
@@ -90,10 +90,11 @@
     if let Some(rank) = workspace.as_ref().and_then(|w| w.rank) {
         class.priority = rank.priority();
     }
+    let workspace = workspace.map(|w| w.id.clone());
     let run_request = RunRequest {
-        fingerprint: Fingerprint::of(&[request.path.as_bytes(), &request.body]),
+        fingerprint: request.fingerprint(workspace.as_ref(), &model),
         caller: proxied_caller()?,
-        workspace: workspace.map(|w| w.id.clone()),
+        workspace,
         share: 1.0,
         class: route.name.clone(),
         arrived,
--- a/node/src/commands/relayed.rs
+++ b/node/src/commands/relayed.rs
@@ -50,7 +50,7 @@
     let workspace = relayed_workspace(&app, &head.route, &mut headers)?;
     let request = ProxyRequest { id: head.id, method, path: head.path, headers, body };
     let run_request = RunRequest {
-        fingerprint: head.fingerprint,
+        fingerprint: request.fingerprint(workspace.as_ref(), &head.routing.model),
         caller: proxied_caller()?,
         workspace,
         share: 1.0,
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -9,7 +9,8 @@
         fleet::{CacheEvent, Load},
         gate::Denial,
         ids::{
-            AdapterId, EngineId, Fence, Incarnation, Millis, ModelId, Rank, RunId, SoftwareVersion,
+            AdapterId, EngineId, Fence, Fingerprint, Incarnation, Millis, ModelId, Rank, RunId,
+            SoftwareVersion, WorkspaceId,
         },
         manifest::Role,
         order::{EngineReport, Holder, Order},
@@ -35,6 +36,37 @@
     pub body: Bytes,
 }
 
+impl ProxyRequest {
+    /// Returns the hash of what a target runs, and for whom. Requests of another workspace, or to
+    /// another service, have another one.
+    ///
+    /// ```
+    /// use {lentil_node::ports::ProxyRequest, hyper::Method};
+    ///
+    /// let request = |method| ProxyRequest {
+    ///     id: "1".into(),
+    ///     method,
+    ///     path: "/a".into(),
+    ///     headers: Default::default(),
+    ///     body: "b".into(),
+    /// };
+    /// let service = "s".parse().unwrap();
+    /// let get = request(Method::GET).fingerprint(None, &service);
+    /// assert_eq!(get, ProxyRequest { id: "2".into(), ..request(Method::GET) }.fingerprint(None, &service));
+    /// assert_ne!(get, request(Method::POST).fingerprint(None, &service));
+    /// assert_ne!(get, request(Method::GET).fingerprint(Some(&"w".parse().unwrap()), &service));
+    /// ```
+    pub fn fingerprint(&self, workspace: Option<&WorkspaceId>, service: &ModelId) -> Fingerprint {
+        Fingerprint::of(&[
+            workspace.map_or("", |w| w.as_str()).as_bytes(),
+            service.as_str().as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.path.as_bytes(),
+            &self.body,
+        ])
+    }
+}
+
 /// A proxied request with the parameters of one attempt at a target.
 #[derive(Debug, Clone)]
 pub struct ProxyAttempt {
--- a/node/src/relay/wire.rs
+++ b/node/src/relay/wire.rs
@@ -80,7 +80,7 @@
     let envelope = links.codec.open(app, &frame, MAX_HEAD_BYTES);
     let envelope = envelope.map_err(|e| bad(&e.to_string()))?;
     let Message::Relayed(head) = envelope.body else { return Err(bad("it is another message")) };
-    if Fingerprint::of(&[head.path.as_bytes(), &bytes]) != head.fingerprint {
+    if Fingerprint::of(&[head.path.as_bytes(), &bytes]) != head.checksum {
         return Err(bad("its body was changed"));
     }
     Ok((envelope.from.instance, *head, bytes))
--- a/node/src/run/relay.rs
+++ b/node/src/run/relay.rs
@@ -12,7 +12,7 @@
     lentil_core::{
         clock::Time,
         error::{ErrorKind, Fault},
-        ids::Millis,
+        ids::{Fingerprint, Millis},
         mesh::RelayedRequest,
     },
     std::time::Duration,
@@ -137,7 +137,7 @@
             method: original.method.to_string(),
             path: original.path.clone(),
             headers: headers.collect(),
-            fingerprint: request.fingerprint,
+            checksum: Fingerprint::of(&[original.path.as_bytes(), &original.body]),
             route: (*proxied.route).clone(),
             version: proxied.version,
             routing,
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -13,7 +13,8 @@
 /// A request to be run on engines.
 #[derive(Debug, Clone)]
 pub struct RunRequest {
-    /// Hash of the content, equal for requests that ask for the same work.
+    /// Hash of workspace, service and content, equal for requests of one workspace that ask for the
+    /// same work.
     pub fingerprint: Fingerprint,
     /// The caller that sent it.
     pub caller: CallerId,
