Quarantined requests are tried again, one instance after the other

Seen in a test: a request that was in work at two targets as both crashed, before any had answered it, was refused for an hour at all instances, and Retry-After said 0.1 s.

Cause: only parts of prompts had trials, and only at the one instance that came first by the hash of the part, whether callers ask there or not.

Change: one mechanism for both. 15, 60 and 240 s after the last crash one request runs, alone among suspects on its target; an answer clears it at all instances, a crash makes the next wait longer, and after three failed trials it stays refused. The instances take turns, 5 s apart by rank, so that a trial which crashes a target is known before the next. Crashes of a quarantined request that come within 0.2 s count once, so that a wave of them does not use up its trials, and a stored quarantine is written again for each further crash. The refusal names the subject and the time until the next trial, and Retry-After carries that.

Result: request_in_work_at_two_crashes_is_tried_again_after_them failed before (refused for 30 s, then given up), and passes; a harmful one is sent at most three times past its quarantine (unit tests). The tests of poison, tainted parts and blame pass unchanged but for the signature of a trial.

--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -22,17 +22,18 @@
 /// that the crash left behind waits for its next run.
 const CRASHED_TARGET_REST: Duration = Duration::from_secs(30);
 
-/// Waits after the last crash of a quarantined part until one request with it is tried again, by the
-/// number of tries; then there is none any more. A part that was blamed by mistake is cleared by that.
+/// Waits after the last crash of a quarantined subject until one request with it is tried again, by the
+/// number of tries; then there is none any more. One that was blamed by mistake is cleared by that.
 const TRIAL_WAITS: [Duration; 3] =
     [Duration::from_secs(15), Duration::from_secs(60), Duration::from_secs(240)];
+/// Further wait of each instance after the one before it, by their ranks: a trial that crashes a
+/// target is known to all by then.
+const TRIAL_STAGGER: Duration = Duration::from_secs(5);
 /// Time after which a trial without a result is repeated.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time between crashes of targets under a part from which they count as two: targets that crash
-/// together have another cause.
+/// Time between crashes of targets under a part, or a quarantined request, from which they count as
+/// two: targets that crash together have another cause.
 const MIN_CRASH_GAP: Duration = Duration::from_millis(200);
-/// Most crashes recorded for one part.
-const MAX_PART_CRASHES: usize = 6;
 
 /// Digest of the quarantined requests and parts, to find out whether two instances hold the same ones.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,7 +88,7 @@
     ends: Time,
     /// Whether this instance found one of the crashes itself.
     found: bool,
-    /// When this instance last tried a request with the part.
+    /// When this instance last tried a request with the subject.
     tried: Option<Time>,
 }
 
@@ -99,19 +100,25 @@
     /// Returns whether a crash that counts until `ends` adds to those recorded.
     fn is_new(&self, subject: Subject, crash: &Crash, ends: Time) -> bool {
         let apart = |other: Time| (ends - other).max(other - ends) >= MIN_CRASH_GAP;
-        match subject {
-            Subject::Request(_) if self.is_quarantined(subject) => false,
-            Subject::Request(_) => self.crashes.iter().all(|c| c.crash != *crash),
-            Subject::Part(_) if self.crashes.len() >= MAX_PART_CRASHES => false,
-            Subject::Part(_) => self.crashes.iter().all(|c| c.crash != *crash && apart(c.ends)),
+        // One more crash for each trial.
+        if self.crashes.len() >= subject.crash_limit() + TRIAL_WAITS.len() {
+            return false;
         }
+        // A request that crashes several targets at once is to be quarantined all the same.
+        let together = matches!(subject, Subject::Request(_)) && !self.is_quarantined(subject);
+        self.crashes.iter().all(|c| c.crash != *crash && (together || apart(c.ends)))
+    }
+
+    /// Returns the time after its last crash from which the instance of the first rank may try it.
+    fn trial_wait(&self, subject: Subject) -> Option<Duration> {
+        let failed = self.crashes.len().checked_sub(subject.crash_limit())?;
+        TRIAL_WAITS.get(failed).copied()
     }
 
-    /// Returns whether a quarantined part may be tried at `now`.
-    fn trial_due(&self, part: PrefixHash, now: Time) -> bool {
-        let limit = Subject::Part(part).crash_limit();
-        let wait = self.crashes.len().checked_sub(limit).and_then(|i| TRIAL_WAITS.get(i));
-        let rested = wait.is_some_and(|wait| self.age(now) >= *wait);
+    /// Returns whether an instance of this rank may try the quarantined subject at `now`.
+    fn trial_due(&self, subject: Subject, rank: usize, now: Time) -> bool {
+        let wait = self.trial_wait(subject).map(|wait| wait + TRIAL_STAGGER * rank as u32);
+        let rested = wait.is_some_and(|wait| self.age(now) >= wait);
         rested && self.tried.is_none_or(|tried| now - tried >= TRIAL_TIMEOUT)
     }
 
@@ -142,26 +149,39 @@
         }
     }
 
-    /// Returns the quarantined ones among the parts.
-    pub fn quarantined_parts(&self, parts: &[PrefixHash], now: Time) -> SmallVec<[PrefixHash; 2]> {
-        parts.iter().copied().filter(|part| self.is_quarantined((*part).into(), now)).collect()
+    /// Returns the quarantined ones among the subjects.
+    pub fn quarantined_among(&self, subjects: &[Subject], now: Time) -> SmallVec<[Subject; 2]> {
+        subjects.iter().copied().filter(|s| self.is_quarantined(*s, now)).collect()
     }
 
-    /// Takes the next trial of quarantined parts, if one is due at `now` for all of them. Of all
-    /// instances, one at a time may do so.
-    pub fn take_trial(&mut self, parts: &[PrefixHash], now: Time) -> bool {
-        let suspect = |part: &PrefixHash| self.suspects.get(&(*part).into());
-        if !parts.iter().all(|part| suspect(part).is_some_and(|s| s.trial_due(*part, now))) {
+    /// Takes the next trial of quarantined subjects, if one is due at `now` for all of them. Each comes
+    /// with the rank of this instance among those that may try it, which take turns.
+    pub fn take_trial(&mut self, ranked: &[(Subject, usize)], now: Time) -> bool {
+        let due = |(subject, rank): &(Subject, usize)| {
+            let suspect = self.suspects.get(subject);
+            suspect.is_some_and(|s| s.trial_due(*subject, *rank, now))
+        };
+        if !ranked.iter().all(due) {
             return false;
         }
-        for part in parts {
-            if let Some(suspect) = self.suspects.get_mut(&(*part).into()) {
+        for (subject, _) in ranked {
+            if let Some(suspect) = self.suspects.get_mut(subject) {
                 suspect.tried = Some(now);
             }
         }
         true
     }
 
+    /// Returns the time until the quarantined subjects may be tried, or until their quarantine ends.
+    pub fn time_to_trial(&self, subjects: &[Subject], now: Time) -> Duration {
+        let wait = |subject: &Subject| {
+            let suspect = self.restricted(*subject, now)?;
+            let trial = suspect.trial_wait(*subject);
+            Some(trial.map_or(suspect.ends - now, |wait| wait.saturating_sub(suspect.age(now))))
+        };
+        subjects.iter().filter_map(wait).max().unwrap_or_default()
+    }
+
     fn restricted(&self, subject: Subject, now: Time) -> Option<&Suspect> {
         self.suspects.get(&subject).filter(|s| s.ends > now)
     }
@@ -245,6 +265,15 @@
         entries.map(|(subject, suspect)| (*subject, suspect))
     }
 
+    /// Returns whether `known` has all crashes by which requests and parts are in quarantine.
+    pub fn is_covered_by(&self, known: &Self, now: Time) -> bool {
+        self.digest(now) == known.digest(now)
+            && self.entries(now).all(|(subject, suspect)| {
+                let known = known.suspects.get(&subject);
+                known.is_some_and(|k| k.crashes.len() >= suspect.crashes.len())
+            })
+    }
+
     /// Returns the digest of the quarantined requests and parts; their crashes do not count, as two
     /// instances may have recorded different ones.
     pub fn digest(&self, now: Time) -> QuarantineDigest {
--- a/node/src/app/send_gate.rs
+++ b/node/src/app/send_gate.rs
@@ -4,8 +4,8 @@
     lentil_core::{
         clock::Time,
         gate::{Denial, SendIntent, SendKind},
-        ids::{EngineId, Fingerprint, PrefixHash, SoftwareVersion},
-        poison::RunPermission,
+        ids::{EngineId, SoftwareVersion},
+        poison::{RunPermission, Subject},
     },
     smallvec::SmallVec,
     std::sync::Arc,
@@ -27,10 +27,8 @@
     pub source: Option<EngineId>,
     /// Whether a permit for the send was acquired.
     pub permit: bool,
-    /// Identifies the request in the quarantine.
-    pub fingerprint: Fingerprint,
-    /// Parts of its prompt that may not be quarantined either.
-    pub parts: SmallVec<[PrefixHash; 16]>,
+    /// The request and the parts of its prompt that may not be quarantined.
+    pub subjects: SmallVec<[Subject; 8]>,
 }
 
 impl SendGate {
@@ -57,9 +55,8 @@
     }
 
     fn permission(&self, now: Time) -> RunPermission {
-        let quarantine = self.app.quarantine();
-        match quarantine.quarantined_parts(&self.parts, now).is_empty() {
-            true => quarantine.permission(self.fingerprint, now),
+        match self.app.quarantine().quarantined_among(&self.subjects, now).is_empty() {
+            true => RunPermission::Clear,
             false => RunPermission::Quarantined,
         }
     }
--- a/node/src/follow/quarantine.rs
+++ b/node/src/follow/quarantine.rs
@@ -84,7 +84,7 @@
                 log::info!("poison: target={} verdict=stored {subject}", crash.engine);
             }
         }
-        if quarantine.digest(now) == known.digest(now) {
+        if quarantine.is_covered_by(&known, now) {
             return Ok(());
         }
         let mut crashes: Vec<StoredCrash> = quarantine
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -10,12 +10,13 @@
         clock::Time,
         error::{ErrorKind, Fault},
         fleet::{BlockHashes, PrefixProgress},
-        ids::{PrefixHash, Tokens},
+        ids::Tokens,
         manifest::EngineSpec,
         plan,
         poison::{RunPermission, Subject},
         route::{choose, Pick, RoutingOrigin, RoutingRequest},
     },
+    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -53,31 +54,37 @@
     /// # Errors
     /// [`ErrorKind::Quarantined`] if it may not run at all.
     pub(super) fn run_permission(&mut self, now: Time) -> Result<RunPermission, Fault> {
-        let refused = |text: &str| Err(Fault::new(ErrorKind::Quarantined, text));
-        let permission = self.app.quarantine().permission(self.request.fingerprint, now);
-        if permission == RunPermission::Quarantined {
-            return refused("the request has crashed two targets");
-        }
-        let parts = self.app.quarantine().quarantined_parts(self.request.shared_parts(), now);
-        self.trial = !parts.is_empty() && self.take_trials(&parts, now);
-        if !parts.is_empty() && !self.trial {
-            return refused("a part of the prompt has crashed several targets");
+        let quarantined = self.app.quarantine().quarantined_among(&self.subjects(), now);
+        self.trial = !quarantined.is_empty() && self.take_trials(&quarantined, now);
+        let Some(subject) = quarantined.first() else {
+            return Ok(self.app.quarantine().permission(self.request.fingerprint, now));
+        };
+        if self.trial {
+            return Ok(match subject {
+                Subject::Request(_) => RunPermission::Isolate,
+                Subject::Part(_) => RunPermission::Clear,
+            });
         }
-        Ok(permission)
+        let wait = self.app.quarantine().time_to_trial(&quarantined, now);
+        let text = match subject {
+            Subject::Request(_) => "the request has crashed two targets",
+            Subject::Part(_) => "a part of the prompt has crashed several targets",
+        };
+        let text = format!("{text}, {subject} next_trial_ms={}", wait.as_millis());
+        Err(Fault::new(ErrorKind::Quarantined, text).with_min_retry(wait))
     }
 
-    /// Takes the trials of quarantined parts, if all of them are due and this instance is the one
-    /// that tries them.
-    fn take_trials(&self, parts: &[PrefixHash], now: Time) -> bool {
-        let region = &self.app.settings.region;
-        let own = |part: &PrefixHash| {
-            let duty = Subject::Part(*part).to_string();
-            self.app.member_view().rank_for(&duty, region) == 0
+    /// Takes the trials of quarantined subjects, if all of them are due at this instance.
+    fn take_trials(&self, subjects: &[Subject], now: Time) -> bool {
+        let rank = |subject: &Subject| {
+            let duty = subject.to_string();
+            (*subject, self.app.member_view().rank_for(&duty, &self.app.settings.region))
         };
-        let taken = parts.iter().all(own) && self.app.quarantine().take_trial(parts, now);
+        let ranked: SmallVec<[_; 2]> = subjects.iter().map(rank).collect();
+        let taken = self.app.quarantine().take_trial(&ranked, now);
         if taken {
             let id = self.request.proxied.as_ref().map_or("-", |p| p.request.id.as_str());
-            log::info!("poison: run: id={id} tries quarantined {}", Subject::Part(parts[0]));
+            log::info!("poison: run: id={id} tries quarantined {}", subjects[0]);
         }
         taken
     }
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -110,7 +110,7 @@
     }
 
     /// Returns the request and the parts of its prompt, to which a crash may be due.
-    fn subjects(&self) -> SmallVec<[Subject; 8]> {
+    pub(super) fn subjects(&self) -> SmallVec<[Subject; 8]> {
         let parts = self.request.shared_parts().iter().copied().map(Subject::from);
         [self.request.fingerprint.into()].into_iter().chain(parts).collect()
     }
--- a/node/src/run/send.rs
+++ b/node/src/run/send.rs
@@ -11,6 +11,7 @@
         ports::{Answer, CacheSource, EngineError, Job, ProxyAttempt, Target},
     },
     lentil_core::{gate::SendKind, ids::Tokens},
+    smallvec::SmallVec,
 };
 
 /// Times that a send may be denied before the request is refused. Each denial shows in the state of
@@ -95,8 +96,7 @@
             software: request.routing.software.clone(),
             source: source.map(|s| s.id.clone()),
             permit,
-            fingerprint: request.fingerprint,
-            parts: if self.task.trial { &[] } else { request.shared_parts() }.into(),
+            subjects: if self.task.trial { SmallVec::new() } else { self.task.subjects() },
         }
     }
 
--- a/node/src/run/task.rs
+++ b/node/src/run/task.rs
@@ -35,7 +35,7 @@
     pub(super) maybe_ran: bool,
     /// Engine reserved for this request while it is a crash suspect.
     pub(super) isolated: Option<EngineId>,
-    /// Whether the latest attempt tries a quarantined part of the prompt.
+    /// Whether the latest attempt tries a quarantined request, or part of its prompt.
     pub(super) trial: bool,
     /// Since when no engine for suspects of this instance accepts work.
     pub(super) closed_since: Option<Time>,
@@ -111,7 +111,7 @@
             .saturating_mul(remaining.0 as u32);
         let deadline = self.request.arrived + routing.class.deadline.duration();
         let permission = self.app.quarantine().permission(self.request.fingerprint, now);
-        let isolates = permission == RunPermission::Isolate;
+        let isolates = permission == RunPermission::Isolate || self.trial;
         let waits = isolates || attempts > 0 && self.has_untried_target();
         let waits = waits && self.relay_fault.is_none() && self.check_relayed().is_ok();
         fault.kind == ErrorKind::NoTarget && waits && now + needed < deadline
