A refused target is a crash also while all others are down

Cause: a target that refuses connections counts as crashed only if another target answers the instance meanwhile, since the instance may be cut off. With all others down nobody answers, and no other instance was asked.

Change: if no other target answers, the service's reach is checked: all targets and other instances are asked, as before a relay. If an instance reaches the service, this one is cut off, and nothing is blamed. If those that answer don't reach it either, or there are none, the refusal counts. If no instance answers, nothing is known, and nothing is blamed. A check counts for a second.

--- a/core/src/poison/verdict.rs
+++ b/core/src/poison/verdict.rs
@@ -18,6 +18,8 @@
     Answer,
     /// None has sent anything, so that the instance itself may be cut off.
     Quiet,
+    /// None has sent anything, and no other instance that was asked reaches one either.
+    Down,
     /// There are none.
     Absent,
 }
@@ -29,15 +31,17 @@
     }
 
     /// Returns whether the requests that ran on the target count as crashing it. Connections of an
-    /// instance that is cut off are refused or silent, which says nothing about the requests.
+    /// instance that is cut off are refused or silent, which says nothing about the requests. Targets
+    /// that are silent to all may be cut off from all.
     ///
     /// ```
     /// use lentil_core::poison::{OtherTargets, Verdict};
     ///
     /// assert!(Verdict::Refusing.is_crash(OtherTargets::Answer));
     /// assert!(!Verdict::Refusing.is_crash(OtherTargets::Quiet));
+    /// assert!(Verdict::Refusing.is_crash(OtherTargets::Down));
     /// assert!(Verdict::Refusing.is_crash(OtherTargets::Absent));
-    /// assert!(!Verdict::Silent.is_crash(OtherTargets::Absent));
+    /// assert!(!Verdict::Silent.is_crash(OtherTargets::Down));
     /// ```
     pub fn is_crash(self, others: OtherTargets) -> bool {
         match (self, others) {
--- a/core/src/reach/check.rs
+++ b/core/src/reach/check.rs
@@ -7,6 +7,8 @@
     pub answered: usize,
     /// Most targets that any other instance reaches; zero if none reaches the service.
     pub others: usize,
+    /// Whether other instances were asked, and none of them answered.
+    pub alone: bool,
 }
 
 impl ReachCheck {
@@ -16,9 +18,10 @@
     /// ```
     /// use lentil_core::reach::ReachCheck;
     ///
-    /// assert!(ReachCheck { asked: 9, answered: 0, others: 8 }.is_cut_off());
-    /// assert!(!ReachCheck { asked: 9, answered: 0, others: 0 }.is_cut_off());
-    /// assert!(!ReachCheck { asked: 9, answered: 1, others: 8 }.is_cut_off());
+    /// let check = ReachCheck { asked: 9, answered: 0, others: 8, alone: false };
+    /// assert!(check.is_cut_off());
+    /// assert!(!ReachCheck { others: 0, ..check }.is_cut_off());
+    /// assert!(!ReachCheck { answered: 1, ..check }.is_cut_off());
     /// ```
     pub fn is_cut_off(&self) -> bool {
         self.asked > 0 && self.answered == 0 && self.others > 0
--- a/core/src/reach/reach_table.rs
+++ b/core/src/reach/reach_table.rs
@@ -25,7 +25,7 @@
     ///
     /// let service = "s".parse()?;
     /// let mut table = ReachTable::default();
-    /// let check = ReachCheck { asked: 4, answered: 0, others: 4 };
+    /// let check = ReachCheck { asked: 4, answered: 0, others: 4, alone: false };
     /// table.of(&service).record_check(&check, Time::ZERO);
     /// assert!(table.is_cut_off(&service));
     /// # Ok::<(), lentil_core::ids::NameError>(())
--- a/core/src/reach/service_reach.rs
+++ b/core/src/reach/service_reach.rs
@@ -39,6 +39,8 @@
     asked: Option<Time>,
     /// Whether no target answered in the latest check.
     unanswered: bool,
+    /// When a check last found that no asked instance reaches a target.
+    down: Option<Time>,
     cut: Option<Cut>,
     /// Other instances that reach the service.
     pub relays: Relays,
@@ -147,6 +149,9 @@
     /// Records the result of a check; returns what it changes.
     pub fn record_check(&mut self, check: &ReachCheck, now: Time) -> Option<ReachChange> {
         self.unanswered = check.asked > 0 && check.answered == 0;
+        if check.is_outage() && !check.alone {
+            self.down = Some(now);
+        }
         match self.cut {
             None if check.is_cut_off() => {
                 let silent = now - self.quiet_since >= LOST_SILENCE;
@@ -182,6 +187,11 @@
         self.cut.is_none() && self.heard.is_some_and(|at| now - at < EVIDENCE_VALIDITY)
     }
 
+    /// Returns whether a check since `since` has found that no asked instance reaches a target.
+    pub fn is_down_since(&self, since: Time) -> bool {
+        self.down.is_some_and(|at| at >= since)
+    }
+
     /// Returns when a target last sent something.
     pub fn last_sign(&self) -> Option<Time> {
         self.heard
--- a/core/src/reach/tests.rs
+++ b/core/src/reach/tests.rs
@@ -18,7 +18,7 @@
     Relay { id: format!("e-{n}").parse().unwrap(), address, near, targets: 4 }
 }
 
-const CUT: ReachCheck = ReachCheck { asked: 4, answered: 0, others: 4 };
+const CUT: ReachCheck = ReachCheck { asked: 4, answered: 0, others: 4, alone: false };
 
 #[test]
 fn record_failure_suspects_after_two_targets_in_a_row() {
@@ -209,7 +209,7 @@
         asked in 0_usize..20, answered in 0_usize..20, others in 0_usize..20,
     ) {
         let answered = answered.min(asked);
-        let check = ReachCheck { asked, answered, others };
+        let check = ReachCheck { asked, answered, others, alone: false };
         let mut reach = ServiceReach::default();
         reach.record_check(&check, at(1_000));
         prop_assert_eq!(reach.is_cut_off(), asked > 0 && answered == 0 && others > 0);
@@ -219,3 +219,15 @@
         prop_assert!(cut.is_cut_off() || answered > 0 || others == 0);
     }
 }
+
+#[test]
+fn service_is_down_only_if_other_instances_say_so() {
+    let outage = ReachCheck { others: 0, ..CUT };
+    let mut reach = ServiceReach::default();
+    reach.record_check(&ReachCheck { alone: true, ..outage }, at(1_000));
+    reach.record_check(&CUT, at(1_500));
+    assert!(!reach.is_down_since(at(0)));
+    reach.record_check(&outage, at(2_000));
+    assert!(reach.is_down_since(at(2_000)));
+    assert!(!reach.is_down_since(at(2_001)));
+}
--- a/node/src/reach/check.rs
+++ b/node/src/reach/check.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        offers::{ask_once, collect_offers},
+        offers::{ask_once, collect_offers, Replies},
         probe::{probe, sample, Probed},
     },
     crate::app::App,
@@ -55,43 +55,44 @@
     let targets = sample(app, service, MAX_PROBED);
     let mut probing = pin!(probe(app, service, &targets, 1));
     let mut offers = pin!(collect_offers(app, service));
-    let probed = tokio::select! {
+    let (probed, replies) = tokio::select! {
         probed = probing.as_mut() => {
-            if probed.answered.is_empty() {
-                offers.await;
-            }
-            probed
+            // A target that has answered ends the check.
+            let replies = if probed.answered.is_empty() { offers.await } else { Replies::NoneAsked };
+            (probed, replies)
         }
-        () = offers.as_mut() => probing.await,
+        replies = offers.as_mut() => (probing.await, replies),
     };
-    record(app, service, &probed);
+    record(app, service, &probed, replies);
 }
 
 /// Looks whether an instance that is cut off from a service reaches it again.
 pub(super) async fn check_return(app: &App, service: &ModelId) {
     let first = sample(app, service, RETURN_PROBES);
-    let (probed, ()) =
+    let (probed, replies) =
         tokio::join!(probe(app, service, &first, RETURN_PROBES), ask_once(app, service));
     if probed.answered.is_empty() {
-        return record(app, service, &probed);
+        return record(app, service, &probed, replies);
     }
     let targets = sample(app, service, MAX_PROBED);
     let probed = probe(app, service, &targets, targets.len()).await;
-    record(app, service, &probed);
+    record(app, service, &probed, replies);
 }
 
 /// Records the result of a check, and what follows from it.
-fn record(app: &App, service: &ModelId, probed: &Probed) {
+fn record(app: &App, service: &ModelId, probed: &Probed, replies: Replies) {
     let now = app.now();
     let (check, relays, change, lost) = {
         let mut reach = app.reach();
         let state = reach.of(service);
         let (asked, answered) = (probed.asked, probed.answered.len());
-        let check = ReachCheck { asked, answered, others: state.relays.most_targets(now) };
+        let others = state.relays.most_targets(now);
+        let alone = replies == Replies::Nothing;
+        let check = ReachCheck { asked, answered, others, alone };
         let change = state.record_check(&check, now);
         (check, state.relays.count_valid(now), change, state.has_lost_requests())
     };
-    let ReachCheck { asked, answered, others } = check;
+    let ReachCheck { asked, answered, others, .. } = check;
     match change {
         Some(ReachChange::CutOff) => {
             log::warn!(
--- a/node/src/reach/offers.rs
+++ b/node/src/reach/offers.rs
@@ -24,34 +24,52 @@
 /// Targets that an instance asks for a report before it says that it reaches a service.
 const ASKED_TARGETS: usize = 2;
 
+/// What has come of questions to other instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Replies {
+    /// There was no other instance to ask.
+    NoneAsked,
+    /// None has answered: this instance may be cut off from them too.
+    Nothing,
+    /// At least one has answered.
+    Some,
+}
+
 /// Asks other instances whether they reach a service, until one does or the time for that is over.
-pub(super) async fn collect_offers(app: &App, service: &ModelId) {
+pub(super) async fn collect_offers(app: &App, service: &ModelId) -> Replies {
     let end = app.now() + OFFER_TIME;
+    let mut replies = Replies::NoneAsked;
     loop {
-        ask_once(app, service).await;
+        replies = replies.max(ask_once(app, service).await);
         let now = app.now();
         if app.reach().of(service).relays.count_valid(now) > 0 || now >= end {
-            return;
+            return replies;
         }
         sleep(OFFER_RETRY).await;
     }
 }
 
 /// Asks some other instances whether they reach a service, and records those that do.
-pub(super) async fn ask_once(app: &App, service: &ModelId) {
+pub(super) async fn ask_once(app: &App, service: &ModelId) -> Replies {
     let question = Question::Reach(service.clone());
     let ask_one = |member: MemberInfo| {
         let question = &question;
         async move {
-            let reply = ask(app, &member.id, member.address, question).await;
-            let Some(Reply::Reach(RelayOffer { address, targets })) = reply else { return };
+            let Some(reply) = ask(app, &member.id, member.address, question).await else {
+                return Replies::Nothing;
+            };
+            let Reply::Reach(RelayOffer { address, targets }) = reply else {
+                return Replies::Some;
+            };
             let near = member.zone == app.settings.zone;
             let relay = Relay { id: member.id, address, near, targets: targets as usize };
             let now = app.now();
             app.reach().of(service).relays.record(relay, now);
+            Replies::Some
         }
     };
-    join_all(some_members(app).into_iter().map(ask_one)).await;
+    let replies = join_all(some_members(app).into_iter().map(ask_one)).await;
+    replies.into_iter().max().unwrap_or(Replies::NoneAsked)
 }
 
 /// Returns random instances of the region, half of them in the own availability zone if there are as
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -4,7 +4,7 @@
         app::App,
         mesh::{clear_blame, report_crash, ReportedBy},
         ports::{EngineError, Target},
-        reach::probe_some,
+        reach::{begin_check, probe_some},
     },
     futures_util::{
         future::{BoxFuture, Shared},
@@ -28,6 +28,8 @@
 /// silences are usual while prompts queue.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
+/// Time for which a check of a service that is down is not repeated.
+const DOWN_VALIDITY: Duration = Duration::from_secs(1);
 /// Other targets that are asked whether they answer, if none has sent anything meanwhile.
 const OTHERS_PROBED: usize = 4;
 
@@ -170,8 +172,13 @@
     if !heard() {
         probe_some(app, &service, OTHERS_PROBED).await;
     }
+    let is_down = || app.reach().of(&service).is_down_since(began.earlier(DOWN_VALIDITY));
+    if !heard() && !is_down() {
+        begin_check(app, &service).await;
+    }
     match heard() {
         true => OtherTargets::Answer,
+        false if is_down() => OtherTargets::Down,
         false => OtherTargets::Quiet,
     }
 }
