A target that other instances reach has not crashed

Seen in a test: the same request was in work at two targets to which one of two instances lost the path (connections reset and refused, or silent).

Cause: a target that refuses or does not answer probes counts as crashed as soon as any other target answers the same instance. No other instance was asked, though they go on getting answers from the same process.

Change: before a crash is reported, three other instances of the region are asked whether they reach that incarnation (TargetCheck, TargetState). Each asks the target for a report. If one is answered, the verdict is `unreached`, and nothing is blamed. The first that is alive ends the question; all others are awaited for 0.3 s at most, so that a crash is reported in time. A process that was replaced needs no confirmation. The silence of a peer is no vote.

--- a/core/src/mesh/extension.rs
+++ b/core/src/mesh/extension.rs
@@ -24,6 +24,12 @@
     /// Requests that were blamed for crashes, and which targets have answered.
     #[prost(message, tag = "6")]
     ClearedRequests(ClearedRequests),
+    /// Asks whether the receiver reaches a target.
+    #[prost(message, tag = "7")]
+    TargetCheck(TargetCheck),
+    /// Answer to a [`TargetCheck`].
+    #[prost(message, tag = "8")]
+    TargetState(TargetState),
 }
 
 impl Extension {
@@ -36,6 +42,8 @@
             Self::RoutesQuery(_) => "routes_query",
             Self::RoutesState(_) => "routes_state",
             Self::ClearedRequests(_) => "cleared_requests",
+            Self::TargetCheck(_) => "target_check",
+            Self::TargetState(_) => "target_state",
         }
     }
 }
@@ -163,3 +171,28 @@
     #[prost(fixed64, repeated, tag = "1")]
     pub requests: Vec<u64>,
 }
+
+/// Asks whether the receiver reaches an incarnation of a target.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetCheck {
+    /// Number of the question in the sender's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Id of the target.
+    #[prost(string, tag = "2")]
+    pub target: String,
+    /// The incarnation.
+    #[prost(uint64, tag = "3")]
+    pub boot: u64,
+}
+
+/// Whether the sender reaches an incarnation of a target.
+#[derive(Clone, PartialEq, Message)]
+pub struct TargetState {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Whether the incarnation has just answered the sender.
+    #[prost(bool, tag = "2")]
+    pub alive: bool,
+}
--- a/core/src/poison/verdict.rs
+++ b/core/src/poison/verdict.rs
@@ -9,6 +9,8 @@
     Refusing,
     /// The target answers no probe.
     Silent,
+    /// The same process answers other instances.
+    Unreached,
 }
 
 /// What is known of the other targets of a service during an investigation.
@@ -45,7 +47,7 @@
     /// ```
     pub fn is_crash(self, others: OtherTargets) -> bool {
         match (self, others) {
-            (Self::Alive, _) => false,
+            (Self::Alive | Self::Unreached, _) => false,
             (Self::Replaced, _) => true,
             (Self::Refusing, others) => others != OtherTargets::Quiet,
             (Self::Silent, others) => others == OtherTargets::Answer,
@@ -58,6 +60,7 @@
             Self::Alive => "alive",
             Self::Replaced | Self::Refusing => "crashed",
             Self::Silent => "silent",
+            Self::Unreached => "unreached",
         }
     }
 }
--- a/core/tests/extensions.rs
+++ b/core/tests/extensions.rs
@@ -5,8 +5,9 @@
         ids::Incarnation,
         mesh::{
             open, open_extensions, seal_extensions, ClearedRequests, Extension, ExtensionEnvelope,
-            FrameError, PaceEntry, RoutesQuery, RoutesState, TargetPace, UsageCounts, VersionRange,
-            WindowCounts, WorkspaceCount, WorkspaceEntry, WorkspaceUse, MAX_DATAGRAM_BYTES,
+            FrameError, PaceEntry, RoutesQuery, RoutesState, TargetCheck, TargetPace, TargetState,
+            UsageCounts, VersionRange, WindowCounts, WorkspaceCount, WorkspaceEntry, WorkspaceUse,
+            MAX_DATAGRAM_BYTES,
         },
         order::Holder,
     },
@@ -34,6 +35,8 @@
         Extension::RoutesQuery(RoutesQuery { number: 9 }),
         Extension::RoutesState(RoutesState { number: 9, version: 4_300, age_ms: Some(820) }),
         Extension::ClearedRequests(ClearedRequests { requests: vec![u64::MAX, 7] }),
+        Extension::TargetCheck(TargetCheck { number: 3, target: "e7".into(), boot: 41 }),
+        Extension::TargetState(TargetState { number: 3, alive: true }),
     ]
 }
 
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -35,7 +35,7 @@
         manifest::{ManifestIndex, ManifestRecord},
         mesh::{
             Announcement, DetectorTiming, LimitNote, MemberInfo, MemberView, Reply, RoutesState,
-            VersionRange,
+            TargetState, VersionRange,
         },
         order::Holder,
         poison::Quarantine,
@@ -110,6 +110,8 @@
     pub questions: Questions<Reply>,
     /// Questions for the routes of other instances that wait for an answer.
     pub route_questions: Questions<RoutesState>,
+    /// Questions whether other instances reach a target that wait for an answer.
+    pub target_questions: Questions<TargetState>,
     /// Notified when what is known of other instances' routes has changed.
     pub peer_routes: Notify,
     /// Socket for datagrams to other instances, once it is bound.
@@ -214,6 +216,7 @@
             limit_notes: Mutex::default(),
             questions: Questions::default(),
             route_questions: Questions::default(),
+            target_questions: Questions::default(),
             peer_routes: Notify::new(),
             investigations: Mutex::default(),
             links: RelayLinks::new(settings.limits.open),
--- a/node/src/mesh/extensions.rs
+++ b/node/src/mesh/extensions.rs
@@ -2,6 +2,7 @@
     super::{
         crash_news::record_cleared_requests,
         routes::{answer_routes_query, record_routes_state},
+        target_checks::{answer_target_check, record_target_state},
         target_pace::record_target_pace,
         usage_counts::record_usage_counts,
         workspace_use::record_workspace_use,
@@ -85,6 +86,8 @@
             Extension::RoutesQuery(message) => answer_routes_query(app, from, address, message),
             Extension::RoutesState(message) => record_routes_state(app, from, message),
             Extension::ClearedRequests(message) => record_cleared_requests(app, &message),
+            Extension::TargetCheck(message) => answer_target_check(app, from, address, message),
+            Extension::TargetState(message) => record_target_state(app, message),
         }
     }
 }
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -15,6 +15,7 @@
 mod routes;
 mod send;
 mod streams;
+mod target_checks;
 mod target_pace;
 mod usage_counts;
 mod workspace_use;
@@ -37,5 +38,6 @@
     request::{request, RequestError},
     routes::{announce_routes, compare_routes, is_route_watcher},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
+    target_checks::is_reached_by_others,
     workspace_use::report_workspace_use,
 };
--- a/node/src/reach/mod.rs
+++ b/node/src/reach/mod.rs
@@ -8,6 +8,6 @@
 pub use {
     check::{begin_check, running_check, ReachChecks},
     offers::answer_reach_question,
-    probe::probe_some,
+    probe::{probe_some, probe_target},
     watch::watch_reach,
 };
--- a/node/src/reach/probe.rs
+++ b/node/src/reach/probe.rs
@@ -8,6 +8,7 @@
         fleet::Availability,
         ids::{EngineId, ModelId},
         manifest::Role,
+        poison::Verdict,
     },
     rand::seq::SliceRandom,
     std::time::Duration,
@@ -74,6 +75,22 @@
     probe(app, service, &targets, 1).await;
 }
 
+/// Asks a target once for a report. A broken connection alone is not a crash.
+pub async fn probe_target(app: &App, target: &Target) -> Verdict {
+    let check = || app.check_control(target);
+    match app.ports.engines.report(target, &check).await {
+        // The target wants no requests, so only its port is looked at.
+        Err(EngineError::Denied(_)) => match app.ports.engines.listens(target).await {
+            true => Verdict::Alive,
+            false => Verdict::Refusing,
+        },
+        Ok(report) if target.may_be(report.boot) => Verdict::Alive,
+        Ok(_) => Verdict::Replaced,
+        Err(EngineError::NotSent(_)) => Verdict::Refusing,
+        Err(_) => Verdict::Silent,
+    }
+}
+
 /// Returns whether a target answers, with any response; `None` if it may not be asked now.
 async fn answers<'a>(app: &App, target: &'a Target) -> (&'a Target, Option<bool>) {
     let check = || app.check_control(target);
--- a/node/src/run/failure.rs
+++ b/node/src/run/failure.rs
@@ -2,9 +2,9 @@
     super::task::Task,
     crate::{
         app::App,
-        mesh::{clear_blame, report_crash, ReportedBy},
+        mesh::{clear_blame, is_reached_by_others, report_crash, ReportedBy},
         ports::{EngineError, Target},
-        reach::{begin_check, probe_some},
+        reach::{begin_check, probe_some, probe_target},
     },
     futures_util::{
         future::{BoxFuture, Shared},
@@ -192,12 +192,15 @@
         let (app, target) = (app.clone(), target.clone());
         async move {
             let began = app.now();
-            let verdict = probe(&app, &target).await;
+            let mut verdict = probe(&app, &target).await;
+            let mut others = OtherTargets::Quiet;
+            if verdict.needs_others() {
+                others = other_targets(&app, &target, began).await;
+                if verdict.is_crash(others) && is_reached_by_others(&app, &target).await {
+                    verdict = Verdict::Unreached;
+                }
+            }
             app.metrics.crash_checks.with_label_values(&[verdict.label()]).inc();
-            let others = match verdict.needs_others() {
-                true => other_targets(&app, &target, began).await,
-                false => OtherTargets::Quiet,
-            };
             (verdict, others)
         }
         .boxed()
@@ -206,23 +209,15 @@
     investigations.0.entry(key).or_insert_with(start).clone()
 }
 
-/// Finds out whether the engine's process is gone or was replaced by another. A broken connection
-/// alone is not a crash.
+/// Finds out whether the target's process is gone or was replaced by another.
 async fn probe(app: &App, target: &Target) -> Verdict {
     for _ in 0..CRASH_PROBES {
-        let check = || app.check_control(target);
-        match app.ports.engines.report(target, &check).await {
-            // The target wants no requests, so only its port is looked at.
-            Err(EngineError::Denied(_)) => {
-                let alive = app.ports.engines.listens(target).await;
-                return if alive { Verdict::Alive } else { Verdict::Refusing };
-            }
-            Ok(report) if target.may_be(report.boot) => return Verdict::Alive,
-            Ok(_) => return Verdict::Replaced,
-            Err(EngineError::NotSent(_)) => return Verdict::Refusing,
-            // The port of a dying process may stay open for a while.
-            Err(_) => sleep(CRASH_PROBE_INTERVAL).await,
+        let verdict = probe_target(app, target).await;
+        if verdict != Verdict::Silent {
+            return verdict;
         }
+        // The port of a dying process may stay open for a while.
+        sleep(CRASH_PROBE_INTERVAL).await;
     }
     Verdict::Silent
 }
