One instance grants the trials of a quarantined request

Seen in a new model of 3 to 12 instances whose messages are lost, late and repeated (core/tests/quarantine.rs): 4 late runs of a harmful request (3 allowed), as two instances tried it within 0.3 s of each other; and a sound request refused for 90 s after all was calm, as the crashes of its first second had used up two of its trials.

Cause: instances took turns by time alone, so that a request that comes rarely is tried by two of them before the first crash is known. And each crash of a quarantined request counted as a failed trial.

Change: the first instance by the hash of the subject grants trials, one at a time; the instance at which the request arrives asks it (TrialRequest, TrialReply; 0.25 s, else no trial). So a request is tried wherever it is asked for first. Crashes of a quarantined subject that come within 10 s of another are due to requests sent before, and to no trial.

Tests of poison, tainted parts and blame pass.

--- a/core/src/mesh/extension.rs
+++ b/core/src/mesh/extension.rs
@@ -30,6 +30,12 @@
     /// Answer to a [`TargetCheck`].
     #[prost(message, tag = "8")]
     TargetState(TargetState),
+    /// Asks the receiver for the next trial of quarantined requests and parts.
+    #[prost(message, tag = "9")]
+    TrialRequest(TrialRequest),
+    /// Answer to a [`TrialRequest`].
+    #[prost(message, tag = "10")]
+    TrialReply(TrialReply),
 }
 
 impl Extension {
@@ -44,6 +50,8 @@
             Self::ClearedRequests(_) => "cleared_requests",
             Self::TargetCheck(_) => "target_check",
             Self::TargetState(_) => "target_state",
+            Self::TrialRequest(_) => "trial_request",
+            Self::TrialReply(_) => "trial_reply",
         }
     }
 }
@@ -196,3 +204,28 @@
     #[prost(bool, tag = "2")]
     pub alive: bool,
 }
+
+/// Asks for the next trial of quarantined requests and parts, for one request that has them all.
+#[derive(Clone, PartialEq, Message)]
+pub struct TrialRequest {
+    /// Number of the question in the sender's incarnation.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Fingerprints of the requests.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub requests: Vec<u64>,
+    /// Hashes of the parts.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
+}
+
+/// Whether the receiver may try the request.
+#[derive(Clone, PartialEq, Message)]
+pub struct TrialReply {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Whether the trial was granted.
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+}
--- a/core/src/mesh/extension_frame.rs
+++ b/core/src/mesh/extension_frame.rs
@@ -53,7 +53,7 @@
 /// Encoding of one message. `body` is `None` for a message that this build doesn't know.
 #[derive(Clone, PartialEq, Message)]
 struct WireMessage {
-    #[prost(oneof = "Extension", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Extension", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     body: Option<Extension>,
 }
 
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -26,14 +26,14 @@
 /// number of tries; then there is none any more. One that was blamed by mistake is cleared by that.
 const TRIAL_WAITS: [Duration; 3] =
     [Duration::from_secs(15), Duration::from_secs(60), Duration::from_secs(240)];
-/// Further wait of each instance after the one before it, by their ranks: a trial that crashes a
-/// target is known to all by then.
-const TRIAL_STAGGER: Duration = Duration::from_secs(5);
 /// Time after which a trial without a result is repeated.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time between crashes of targets under a part, or a quarantined request, from which they count as
-/// two: targets that crash together have another cause.
+/// Time between crashes of targets under a part from which they count as two: targets that crash
+/// together have another cause.
 const MIN_CRASH_GAP: Duration = Duration::from_millis(200);
+/// The same for crashes after the one that has quarantined a subject. Sooner ones are due to requests
+/// that were sent before it, and to no trial.
+const MIN_TRIAL_GAP: Duration = Duration::from_secs(10);
 
 /// Digest of the quarantined requests and parts, to find out whether two instances hold the same ones.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,7 +88,7 @@
     ends: Time,
     /// Whether this instance found one of the crashes itself.
     found: bool,
-    /// When this instance last tried a request with the subject.
+    /// When this instance last tried a request with the subject, or had another one try it.
     tried: Option<Time>,
 }
 
@@ -99,26 +99,29 @@
 
     /// Returns whether a crash that counts until `ends` adds to those recorded.
     fn is_new(&self, subject: Subject, crash: &Crash, ends: Time) -> bool {
-        let apart = |other: Time| (ends - other).max(other - ends) >= MIN_CRASH_GAP;
         // One more crash for each trial.
         if self.crashes.len() >= subject.crash_limit() + TRIAL_WAITS.len() {
             return false;
         }
-        // A request that crashes several targets at once is to be quarantined all the same.
-        let together = matches!(subject, Subject::Request(_)) && !self.is_quarantined(subject);
-        self.crashes.iter().all(|c| c.crash != *crash && (together || apart(c.ends)))
+        let gap = match subject {
+            _ if self.is_quarantined(subject) => MIN_TRIAL_GAP,
+            // It is quarantined also if it crashes several targets at once.
+            Subject::Request(_) => Duration::ZERO,
+            Subject::Part(_) => MIN_CRASH_GAP,
+        };
+        let apart = |other: Time| (ends - other).max(other - ends) >= gap;
+        self.crashes.iter().all(|c| c.crash != *crash && apart(c.ends))
     }
 
-    /// Returns the time after its last crash from which the instance of the first rank may try it.
+    /// Returns the time after its last crash from which it may be tried.
     fn trial_wait(&self, subject: Subject) -> Option<Duration> {
         let failed = self.crashes.len().checked_sub(subject.crash_limit())?;
         TRIAL_WAITS.get(failed).copied()
     }
 
-    /// Returns whether an instance of this rank may try the quarantined subject at `now`.
-    fn trial_due(&self, subject: Subject, rank: usize, now: Time) -> bool {
-        let wait = self.trial_wait(subject).map(|wait| wait + TRIAL_STAGGER * rank as u32);
-        let rested = wait.is_some_and(|wait| self.age(now) >= wait);
+    /// Returns whether the quarantined subject may be tried at `now`.
+    fn trial_due(&self, subject: Subject, now: Time) -> bool {
+        let rested = self.trial_wait(subject).is_some_and(|wait| self.age(now) >= wait);
         rested && self.tried.is_none_or(|tried| now - tried >= TRIAL_TIMEOUT)
     }
 
@@ -154,17 +157,19 @@
         subjects.iter().copied().filter(|s| self.is_quarantined(*s, now)).collect()
     }
 
-    /// Takes the next trial of quarantined subjects, if one is due at `now` for all of them. Each comes
-    /// with the rank of this instance among those that may try it, which take turns.
-    pub fn take_trial(&mut self, ranked: &[(Subject, usize)], now: Time) -> bool {
-        let due = |(subject, rank): &(Subject, usize)| {
-            let suspect = self.suspects.get(subject);
-            suspect.is_some_and(|s| s.trial_due(*subject, *rank, now))
-        };
-        if !ranked.iter().all(due) {
+    /// Returns whether a trial is due at `now` for all of these quarantined subjects.
+    pub fn is_trial_due(&self, subjects: &[Subject], now: Time) -> bool {
+        let due = |s: &Subject| self.suspects.get(s).is_some_and(|found| found.trial_due(*s, now));
+        subjects.iter().all(due)
+    }
+
+    /// Takes the next trial of quarantined subjects, if one is due at `now` for all of them. Of all
+    /// instances, one takes the trials of a subject for all, so that there is one at a time.
+    pub fn take_trial(&mut self, subjects: &[Subject], now: Time) -> bool {
+        if !self.is_trial_due(subjects, now) {
             return false;
         }
-        for (subject, _) in ranked {
+        for subject in subjects {
             if let Some(suspect) = self.suspects.get_mut(subject) {
                 suspect.tried = Some(now);
             }
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -35,7 +35,7 @@
         manifest::{ManifestIndex, ManifestRecord},
         mesh::{
             Announcement, DetectorTiming, LimitNote, MemberInfo, MemberView, Reply, RoutesState,
-            TargetState, VersionRange,
+            TargetState, TrialReply, VersionRange,
         },
         order::Holder,
         poison::Quarantine,
@@ -112,6 +112,8 @@
     pub route_questions: Questions<RoutesState>,
     /// Questions whether other instances reach a target that wait for an answer.
     pub target_questions: Questions<TargetState>,
+    /// Requests for trials of quarantined requests that wait for an answer.
+    pub trial_questions: Questions<TrialReply>,
     /// Notified when what is known of other instances' routes has changed.
     pub peer_routes: Notify,
     /// Socket for datagrams to other instances, once it is bound.
@@ -217,6 +219,7 @@
             questions: Questions::default(),
             route_questions: Questions::default(),
             target_questions: Questions::default(),
+            trial_questions: Questions::default(),
             peer_routes: Notify::new(),
             investigations: Mutex::default(),
             links: RelayLinks::new(settings.limits.open),
--- a/node/src/mesh/crash_news.rs
+++ b/node/src/mesh/crash_news.rs
@@ -68,7 +68,7 @@
 }
 
 /// Splits subjects into parts and the fingerprints of requests, which are sent in different messages.
-fn split(subjects: &[Subject]) -> (Vec<PrefixHash>, Vec<u64>) {
+pub(super) fn split(subjects: &[Subject]) -> (Vec<PrefixHash>, Vec<u64>) {
     let (mut parts, mut requests) = (Vec::new(), Vec::new());
     for subject in subjects {
         match subject {
--- a/node/src/mesh/extensions.rs
+++ b/node/src/mesh/extensions.rs
@@ -4,6 +4,7 @@
         routes::{answer_routes_query, record_routes_state},
         target_checks::{answer_target_check, record_target_state},
         target_pace::record_target_pace,
+        trials::{answer_trial_request, record_trial_reply},
         usage_counts::record_usage_counts,
         workspace_use::record_workspace_use,
     },
@@ -88,6 +89,8 @@
             Extension::ClearedRequests(message) => record_cleared_requests(app, &message),
             Extension::TargetCheck(message) => answer_target_check(app, from, address, message),
             Extension::TargetState(message) => record_target_state(app, message),
+            Extension::TrialRequest(message) => answer_trial_request(app, from, address, message),
+            Extension::TrialReply(message) => record_trial_reply(app, message),
         }
     }
 }
--- a/node/src/mesh/mod.rs
+++ b/node/src/mesh/mod.rs
@@ -17,6 +17,7 @@
 mod streams;
 mod target_checks;
 mod target_pace;
+mod trials;
 mod usage_counts;
 mod workspace_use;
 
@@ -39,5 +40,6 @@
     routes::{announce_routes, compare_routes, is_route_watcher},
     streams::{announce_stream, hand_over_streams, search_origin, share_stream_origins},
     target_checks::is_reached_by_others,
+    trials::request_trial,
     workspace_use::report_workspace_use,
 };
--- a/node/src/run/attempts.rs
+++ b/node/src/run/attempts.rs
@@ -90,6 +90,7 @@
     async fn choose_checked(&mut self, attempts: u32) -> Result<EngineChoice, Fault> {
         self.check_version_left()?;
         self.await_reach_check().await;
+        self.take_trial().await;
         self.choose(attempts)
     }
 
--- a/node/src/run/choose.rs
+++ b/node/src/run/choose.rs
@@ -4,7 +4,7 @@
         prefix::{record_fetch, record_prefix},
         task::Task,
     },
-    crate::ports::Target,
+    crate::{mesh::request_trial, ports::Target},
     lentil_core::{
         admit::{admit, choose_and_queue, AdmissionRequest, CallerPatience, ShareRequest},
         clock::Time,
@@ -16,7 +16,6 @@
         poison::{RunPermission, Subject},
         route::{choose, Pick, RoutingOrigin, RoutingRequest},
     },
-    smallvec::SmallVec,
     std::time::Duration,
 };
 
@@ -55,7 +54,6 @@
     /// [`ErrorKind::Quarantined`] if it may not run at all.
     pub(super) fn run_permission(&mut self, now: Time) -> Result<RunPermission, Fault> {
         let quarantined = self.app.quarantine().quarantined_among(&self.subjects(), now);
-        self.trial = !quarantined.is_empty() && self.take_trials(&quarantined, now);
         let Some(subject) = quarantined.first() else {
             return Ok(self.app.quarantine().permission(self.request.fingerprint, now));
         };
@@ -74,19 +72,23 @@
         Err(Fault::new(ErrorKind::Quarantined, text).with_min_retry(wait))
     }
 
-    /// Takes the trials of quarantined subjects, if all of them are due at this instance.
-    fn take_trials(&self, subjects: &[Subject], now: Time) -> bool {
-        let rank = |subject: &Subject| {
-            let duty = subject.to_string();
-            (*subject, self.app.member_view().rank_for(&duty, &self.app.settings.region))
+    /// Takes the trial of the quarantined ones among the request's subjects, if one is due for all.
+    pub(super) async fn take_trial(&mut self) {
+        self.trial = false;
+        let now = self.app.now();
+        let quarantined = {
+            let quarantine = self.app.quarantine();
+            let quarantined = quarantine.quarantined_among(&self.subjects(), now);
+            if quarantined.is_empty() || !quarantine.is_trial_due(&quarantined, now) {
+                return;
+            }
+            quarantined
         };
-        let ranked: SmallVec<[_; 2]> = subjects.iter().map(rank).collect();
-        let taken = self.app.quarantine().take_trial(&ranked, now);
-        if taken {
+        self.trial = request_trial(&self.app, &quarantined).await;
+        if self.trial {
             let id = self.request.proxied.as_ref().map_or("-", |p| p.request.id.as_str());
-            log::info!("poison: run: id={id} tries quarantined {}", subjects[0]);
+            log::info!("poison: run: id={id} tries quarantined {}", quarantined[0]);
         }
-        taken
     }
 
     /// Chooses engines and records what will be sent to them, under the locks of the shared tables.
