Request bodies draw on a bounded memory as they arrive

Callers saw: crowds of clients that send large bodies and stop short of their end, or send them to targets that answer late, ended an instance for lack of memory.

Cause: a body was collected as one frame a read, each with a record of its own and with the read buffer that it was cut from (39 bytes a byte for chunks of one byte), without a limit on all bodies together, and for as long as the caller's own Deadline-Ms. It stayed in memory until its answer.

Change: bytes are copied into equal, reused segments of 32 KiB that count against a share of the memory (limits.memory, by default that of the smallest machine), from arrival to answer. Without room the body that has stalled longest yields (408), or the new one is refused (503, at the head if its length is announced); a part of the share is kept for small bodies. A body without 16 KiB of progress in 10 s, or that is not there by its route's timeout, gets 408 instead of 400, which told callers that their request was wrong. Pauses of the instance don't count. A target's request streams the segments.

--- a/core/src/error/answer.rs
+++ b/core/src/error/answer.rs
@@ -62,6 +62,7 @@
             Self::UnknownService => (404, "unknown-service", NotRun, None),
             Self::NoRoute => (404, "no-route", NotRun, None),
             Self::TooLarge => (413, "too-large", NotRun, None),
+            Self::BodyTimeout => (408, "body-timeout", NotRun, None),
             Self::KeyReused => (422, "key-reused", NotRun, None),
             // The first request with the key is running or was run; only this repeat was not.
             Self::StillRunning => (409, "still-running", Unknown, SHORT_RETRY),
--- a/core/src/error/kind.rs
+++ b/core/src/error/kind.rs
@@ -21,6 +21,8 @@
     NoRoute,
     /// The request's body is larger than the limit.
     TooLarge,
+    /// The request's body stalled, or did not arrive before the deadline.
+    BodyTimeout,
     /// The idempotency key was used before with another body.
     KeyReused,
     /// A request with this idempotency key is still running.
@@ -51,7 +53,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in docs/INTERFACES.md.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::NoCaller,
         Self::Forbidden,
@@ -59,6 +61,7 @@
         Self::UnknownService,
         Self::NoRoute,
         Self::TooLarge,
+        Self::BodyTimeout,
         Self::KeyReused,
         Self::StillRunning,
         Self::OverShare,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod ids;
+pub mod intake;
 pub mod limit;
 pub mod manifest;
 pub mod mesh;
--- a/core/src/settings/instance.rs
+++ b/core/src/settings/instance.rs
@@ -2,6 +2,7 @@
     super::HostedSettings,
     crate::{
         ids::{Bytes, InstanceId, Millis, Region, Zone},
+        intake::{IntakeShares, Megabytes},
         manifest::{parse_json, Problem},
     },
     serde::{Deserialize, Serialize},
@@ -101,11 +102,35 @@
     pub retries: f64,
     /// Maximum time for running answers to finish when the instance stops.
     pub drain: Millis,
+    /// Memory that the process may use; limits on what callers make it hold follow from it.
+    pub memory: Megabytes,
+    /// File descriptors that the process may open; by default the limit that the system sets.
+    pub descriptors: Option<u64>,
 }
 
+/// Least memory of a process.
+const MIN_MEMORY: Megabytes = Megabytes(64.0);
+/// Least number of file descriptors of a process.
+const MIN_DESCRIPTORS: u64 = 128;
+
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { body: Bytes(1 << 20), open: 4_096, retries: 0.1, drain: Millis(60_000) }
+        Self {
+            body: Bytes(1 << 20),
+            open: 4_096,
+            retries: 0.1,
+            drain: Millis(60_000),
+            // The smallest machine that instances are built for.
+            memory: Megabytes(120.0),
+            descriptors: None,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Divides memory and descriptors; `system` is the system's limit on descriptors.
+    pub fn shares(&self, system: u64) -> IntakeShares {
+        IntakeShares::new(self.memory, self.descriptors.unwrap_or(system))
     }
 }
 
@@ -184,6 +209,9 @@
         require(relay_free, "mesh.relay", "must differ from mesh.listen");
         require(self.limits.body.0 > 0, "limits.body", "must be greater than 0");
         require(self.limits.open > 0, "limits.open", "must be greater than 0");
+        require(self.limits.memory >= MIN_MEMORY, "limits.memory", "must be at least 64 MB");
+        let descriptors_valid = self.limits.descriptors.is_none_or(|d| d >= MIN_DESCRIPTORS);
+        require(descriptors_valid, "limits.descriptors", "must be at least 128");
         let retries_valid = (0.0..=0.1).contains(&self.limits.retries);
         require(retries_valid, "limits.retries", "must lie between 0 and 0.1");
         let margin_valid = self.control.margin.0 * 2 < self.control.lease.0;
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -15,6 +15,7 @@
     crate::{
         claims::ClaimStore,
         control::CellLeases,
+        intake::{descriptor_limit, RequestMemory},
         mesh::{FrameCodec, PeerVersions, Questions, Refusals},
         metrics::Metrics,
         ports::{
@@ -31,6 +32,7 @@
         error::{ErrorKind, Fault},
         fleet::{CacheIndex, TargetBatch},
         ids::Revision,
+        intake::IntakeShares,
         limit::ResendLimit,
         manifest::{ManifestIndex, ManifestRecord},
         mesh::{
@@ -120,6 +122,10 @@
     pub socket: OnceLock<Arc<UdpSocket>>,
     /// Leases of the cells that this instance holds.
     pub cell_leases: CellLeases,
+    /// Parts of the memory and descriptors for what callers make this instance hold.
+    pub shares: IntakeShares,
+    /// Memory for the bodies of requests.
+    pub memory: Arc<RequestMemory>,
     /// Permits for concurrent requests; `limits.open` sets their number.
     pub run_permits: Arc<Semaphore>,
     /// Current phase; tasks watch it to stop.
@@ -189,10 +195,13 @@
             zone: settings.zone.clone(),
         };
         let timing = DetectorTiming { interval: settings.mesh.beat.duration() };
+        let shares = settings.limits.shares(descriptor_limit());
         let claims = ClaimStore::new(ports.store.clone(), settings.claims.clone(), clock);
         Self {
             member_view: Mutex::new(MemberView::new(info, timing)),
             admission: Mutex::new(Admission::new(settings.limits.retries, resend_limit(&settings))),
+            memory: RequestMemory::new(&shares, clock),
+            shares,
             run_permits: Arc::new(Semaphore::new(settings.limits.open)),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Serving),
--- a/node/src/commands/relayed.rs
+++ b/node/src/commands/relayed.rs
@@ -2,10 +2,10 @@
     super::{proxy::proxied_caller, workspace::relayed_workspace},
     crate::{
         app::App,
+        intake::RequestBody,
         ports::ProxyRequest,
         run::{self, Pieces, Proxied, RelayedFrom, RunRequest},
     },
-    bytes::Bytes,
     hyper::{
         header::{HeaderName, HeaderValue},
         HeaderMap, Method,
@@ -29,7 +29,7 @@
     app: Arc<App>,
     from: InstanceId,
     head: RelayedRequest,
-    body: Bytes,
+    body: RequestBody,
 ) -> Result<Pieces, Fault> {
     let bad = |text: String| Fault::new(ErrorKind::BadRequest, format!("relayed request: {text}"));
     let method: Method = head.method.parse().map_err(|_| bad("invalid method".into()))?;
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -4,7 +4,7 @@
         app::{App, Phase},
         control, follow,
         http::{self, Body, ConnectionLimits},
-        mesh,
+        intake, mesh,
         ports::Directory,
         queries, reach,
         relay::serve_relayed,
@@ -78,6 +78,7 @@
     });
     let probes = probes(app.clone());
     let tasks = [
+        tokio::spawn(intake::watch_bodies(app.clone())),
         tokio::spawn(http::serve(
             sockets.ready,
             probes.clone(),
--- /dev/null
+++ b/node/src/intake/request_memory.rs
@@ -0,0 +1,367 @@
+use {
+    super::RequestBody,
+    crate::app::Clock,
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::body::Body as HttpBody,
+    lentil_core::{
+        error::{ErrorKind, Fault},
+        intake::{ActiveTime, ArrivalId, Arrivals, BodyBudget, IntakeShares, SMALL_BODY},
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        sync::{oneshot, Notify},
+        task::yield_now,
+        time::timeout,
+    },
+};
+
+/// Size of the buffers of large bodies. They are equal and reused, so that memory is not fragmented.
+const SEGMENT: usize = SMALL_BODY;
+/// First buffer of a body without a declared length.
+const FIRST_BUFFER: usize = 1 << 10;
+/// Most bodies that are given up for one buffer.
+const MAX_EVICTIONS: usize = 8;
+/// Time within which a body that is given up frees its memory.
+const EVICTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// Frames after which the reader of a body lets other tasks run.
+const FRAMES_PER_TURN: usize = 64;
+
+/// Why a request's body is not read to its end.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum IntakeError {
+    /// The body is larger than the limit.
+    #[error("the body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// There is no memory for it.
+    #[error("there is no memory for the body of the request")]
+    Full,
+    /// It has stalled.
+    #[error("the body was not received in time")]
+    Stalled,
+    /// It has stalled and the instance is stopping.
+    #[error("this instance is stopping")]
+    Stopping,
+    /// The connection failed, or the body is malformed.
+    #[error("body can't be read: {0}")]
+    Failed(String),
+}
+
+impl IntakeError {
+    /// Returns whether the caller may still be sending.
+    pub fn caller_sends(&self) -> bool {
+        matches!(self, Self::TooLarge(_) | Self::Full)
+    }
+}
+
+impl From<IntakeError> for Fault {
+    fn from(error: IntakeError) -> Self {
+        let kind = match error {
+            IntakeError::TooLarge(_) => ErrorKind::TooLarge,
+            IntakeError::Full => ErrorKind::NoCapacity,
+            IntakeError::Stalled => ErrorKind::BodyTimeout,
+            IntakeError::Stopping => ErrorKind::Stopping,
+            IntakeError::Failed(_) => ErrorKind::BadRequest,
+        };
+        Self::new(kind, error.to_string())
+    }
+}
+
+/// Memory for the bodies of all requests of an instance. Memory is taken as bytes arrive and is free
+/// again once the request is answered. Without room, the body that has stalled longest yields.
+pub struct RequestMemory {
+    state: Mutex<State>,
+    freed: Notify,
+    clock: Clock,
+}
+
+struct State {
+    budget: BodyBudget,
+    arrivals: Arrivals,
+    time: ActiveTime,
+    /// Ends of the bodies that arrive and were not given up.
+    evictions: HashMap<ArrivalId, oneshot::Sender<IntakeError>>,
+    /// Segments that no body uses.
+    spare: Vec<Vec<u8>>,
+    given_up: u64,
+}
+
+/// Use of the memory for bodies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryUse {
+    /// Bytes of bodies that arrive or whose requests are in progress.
+    pub used: usize,
+    /// Bytes of bodies that arrive.
+    pub arriving: usize,
+    /// Number of bodies that arrive.
+    pub bodies: usize,
+    /// All bytes for bodies.
+    pub capacity: usize,
+    /// Bodies given up since the start because they stalled.
+    pub given_up: u64,
+}
+
+/// Buffer that counts against the memory.
+struct Buffer {
+    bytes: Vec<u8>,
+    taken: usize,
+    memory: Arc<RequestMemory>,
+}
+
+/// A body that arrives.
+struct Arrival {
+    id: ArrivalId,
+    memory: Arc<RequestMemory>,
+}
+
+/// Collects a body that arrives.
+struct Collector {
+    arrival: Arrival,
+    expected: Option<usize>,
+    body: RequestBody,
+    tail: Option<Buffer>,
+    /// Bytes of memory taken.
+    held: usize,
+}
+
+impl RequestMemory {
+    /// Creates the memory of an instance.
+    pub fn new(shares: &IntakeShares, clock: Clock) -> Arc<Self> {
+        let state = State {
+            budget: BodyBudget::new(shares.bodies, shares.small),
+            arrivals: Arrivals::default(),
+            time: ActiveTime::default(),
+            evictions: HashMap::new(),
+            spare: Vec::new(),
+            given_up: 0,
+        };
+        Arc::new(Self { state: Mutex::new(state), freed: Notify::new(), clock })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how much of the memory is in use.
+    pub fn usage(&self) -> MemoryUse {
+        let state = self.state();
+        let (bodies, arriving) = state.arrivals.usage();
+        MemoryUse {
+            used: state.budget.used(),
+            arriving,
+            bodies,
+            capacity: state.budget.capacity(),
+            given_up: state.given_up,
+        }
+    }
+
+    /// Reads a whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// [`IntakeError`] if the body is refused or given up; the rest of it was not read.
+    pub async fn read<B>(
+        self: &Arc<Self>,
+        body: &mut B,
+        limit: usize,
+    ) -> Result<RequestBody, IntakeError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        if body.is_end_stream() {
+            return Ok(RequestBody::default());
+        }
+        let size = body.size_hint();
+        if size.lower() > limit as u64 {
+            return Err(IntakeError::TooLarge(limit));
+        }
+        let expected = size.exact().map(|length| length as usize);
+        let (arrival, mut evicted) = self.begin(expected.unwrap_or(0))?;
+        let mut collector =
+            Collector { arrival, expected, body: RequestBody::default(), tail: None, held: 0 };
+        for frames in 1.. {
+            let frame = tokio::select! {
+                biased;
+                reason = &mut evicted => return Err(reason.unwrap_or(IntakeError::Stalled)),
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else { break };
+            let frame = frame.map_err(|e| IntakeError::Failed(e.into().to_string()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if collector.len() + data.len() > limit {
+                return Err(IntakeError::TooLarge(limit));
+            }
+            collector.write(&data).await?;
+            if frames % FRAMES_PER_TURN == 0 {
+                yield_now().await;
+            }
+        }
+        Ok(collector.finish())
+    }
+
+    /// Begins a body of at least `expected` bytes, if there may be room for it.
+    fn begin(
+        self: &Arc<Self>,
+        expected: usize,
+    ) -> Result<(Arrival, oneshot::Receiver<IntakeError>), IntakeError> {
+        let mut state = self.state();
+        let now = state.time.advance(self.clock.now());
+        let yielding = state.arrivals.yieldable(now);
+        if !state.budget.fits_after(yielding, expected) {
+            return Err(IntakeError::Full);
+        }
+        let id = state.arrivals.begin(now);
+        let (evict, evicted) = oneshot::channel();
+        state.evictions.insert(id, evict);
+        Ok((Arrival { id, memory: self.clone() }, evicted))
+    }
+
+    /// Takes `more` bytes for body `id`, which holds `held`; other bodies may have to yield. Returns
+    /// an empty buffer of that capacity.
+    async fn take(
+        self: &Arc<Self>,
+        id: ArrivalId,
+        held: usize,
+        more: usize,
+    ) -> Result<Buffer, IntakeError> {
+        for _ in 0..MAX_EVICTIONS {
+            let mut freed = std::pin::pin!(self.freed.notified());
+            // From here on, memory that is freed is noticed.
+            freed.as_mut().enable();
+            {
+                let mut state = self.state();
+                if state.budget.take(held, more) {
+                    let bytes = state.buffer(more);
+                    return Ok(Buffer { bytes, taken: more, memory: self.clone() });
+                }
+                let now = state.time.advance(self.clock.now());
+                let Some(other) = state.arrivals.yielding(id, now) else { break };
+                state.evict(other, IntakeError::Stalled);
+            }
+            if timeout(EVICTION_TIMEOUT, freed).await.is_err() {
+                break;
+            }
+        }
+        Err(IntakeError::Full)
+    }
+
+    /// Gives up the bodies that have stalled for too long.
+    pub fn give_up_stalled(&self, stopping: bool) {
+        let mut state = self.state();
+        let now = state.time.advance(self.clock.now());
+        let reason = if stopping { IntakeError::Stopping } else { IntakeError::Stalled };
+        for id in state.arrivals.stalled(stopping, now) {
+            state.evict(id, reason.clone());
+        }
+    }
+}
+
+impl State {
+    fn evict(&mut self, id: ArrivalId, reason: IntakeError) {
+        let Some(end) = self.evictions.remove(&id) else { return };
+        self.given_up += 1;
+        // Fails if the body has just been read.
+        let _ = end.send(reason);
+    }
+
+    /// Returns a buffer of `capacity` bytes, which were taken from the budget before.
+    fn buffer(&mut self, capacity: usize) -> Vec<u8> {
+        let reused = if capacity == SEGMENT { self.spare.pop() } else { None };
+        while self.budget.used() + self.spare.len() * SEGMENT > self.budget.capacity() {
+            if self.spare.pop().is_none() {
+                break;
+            }
+        }
+        reused.unwrap_or_else(|| Vec::with_capacity(capacity))
+    }
+}
+
+impl AsRef<[u8]> for Buffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        let mut bytes = std::mem::take(&mut self.bytes);
+        {
+            let mut state = self.memory.state();
+            state.budget.give_back(self.taken);
+            if bytes.capacity() == SEGMENT {
+                bytes.clear();
+                state.spare.push(bytes);
+            }
+        }
+        self.memory.freed.notify_waiters();
+    }
+}
+
+impl Drop for Arrival {
+    fn drop(&mut self) {
+        let mut state = self.memory.state();
+        state.arrivals.end(self.id);
+        state.evictions.remove(&self.id);
+    }
+}
+
+impl Collector {
+    fn len(&self) -> usize {
+        self.body.len() + self.tail.as_ref().map_or(0, |t| t.bytes.len())
+    }
+
+    async fn write(&mut self, data: &[u8]) -> Result<(), IntakeError> {
+        let mut rest = data;
+        while !rest.is_empty() {
+            let room = self.tail.as_ref().map_or(0, |t| t.taken - t.bytes.len());
+            if room == 0 {
+                self.grow().await?;
+                continue;
+            }
+            let Some(tail) = &mut self.tail else { continue };
+            let (now, later) = rest.split_at(room.min(rest.len()));
+            tail.bytes.extend_from_slice(now);
+            rest = later;
+        }
+        let memory = &self.arrival.memory;
+        let mut state = memory.state();
+        let now = state.time.advance(memory.clock.now());
+        state.arrivals.record(self.arrival.id, data.len(), self.held, now);
+        Ok(())
+    }
+
+    /// Adds room behind the last byte: a larger first buffer, or another segment.
+    async fn grow(&mut self) -> Result<(), IntakeError> {
+        let full = self.tail.as_ref().map_or(0, |t| t.taken);
+        let capacity = match self.expected {
+            Some(length) if length <= SEGMENT => length.max(self.len() + 1),
+            Some(_) => SEGMENT,
+            None => (full * 2).clamp(FIRST_BUFFER, SEGMENT),
+        };
+        let (id, memory) = (self.arrival.id, &self.arrival.memory);
+        let mut buffer = memory.take(id, self.held, capacity).await?;
+        self.held += capacity;
+        match self.tail.take() {
+            Some(tail) if full < SEGMENT => {
+                buffer.bytes.extend_from_slice(&tail.bytes);
+                self.held -= full;
+            }
+            Some(tail) => self.body.push(Bytes::from_owner(tail)),
+            None => {}
+        }
+        self.tail = Some(buffer);
+        Ok(())
+    }
+
+    fn finish(mut self) -> RequestBody {
+        if let Some(tail) = self.tail.take() {
+            self.body.push(Bytes::from_owner(tail));
+        }
+        self.body
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod front;
 pub mod http;
+pub mod intake;
 pub mod mesh;
 pub mod metrics;
 pub mod ports;
--- a/node/src/ports/engine.rs
+++ b/node/src/ports/engine.rs
@@ -1,6 +1,9 @@
 use {
     super::Target,
-    crate::http::{accepts_connections, CallError},
+    crate::{
+        http::{accepts_connections, CallError},
+        intake::RequestBody,
+    },
     bytes::Bytes,
     futures_util::{future::BoxFuture, stream::BoxStream, FutureExt},
     hyper::{HeaderMap, Method},
@@ -33,7 +36,7 @@
     /// Headers, without hop-by-hop headers and those that the instance sets itself.
     pub headers: HeaderMap,
     /// Request body.
-    pub body: Bytes,
+    pub body: RequestBody,
 }
 
 impl ProxyRequest {
@@ -57,13 +60,13 @@
     /// assert_ne!(get, request(Method::GET).fingerprint(Some(&"w".parse().unwrap()), &service));
     /// ```
     pub fn fingerprint(&self, workspace: Option<&WorkspaceId>, service: &ModelId) -> Fingerprint {
-        Fingerprint::of(&[
-            workspace.map_or("", |w| w.as_str()).as_bytes(),
-            service.as_str().as_bytes(),
-            self.method.as_str().as_bytes(),
-            self.path.as_bytes(),
-            &self.body,
-        ])
+        let parts = [
+            workspace.map_or("", |w| w.as_str()),
+            service.as_str(),
+            self.method.as_str(),
+            &self.path,
+        ];
+        Fingerprint::of_chunked(&parts.map(str::as_bytes), self.body.parts())
     }
 }
 
--- a/node/src/relay/send.rs
+++ b/node/src/relay/send.rs
@@ -3,9 +3,9 @@
     crate::{
         app::App,
         http::{event_parts, read_all, remove_hop_by_hop, PooledConnection, SendFailure},
+        intake::RequestBody,
         ports::{Answer, AnswerHead, AnswerPart, EngineError},
     },
-    bytes::Bytes,
     futures_util::{stream::once, StreamExt},
     hyper::{body::Incoming, HeaderMap, Response},
     lentil_core::{
@@ -52,7 +52,7 @@
     app: &Arc<App>,
     (id, at): (&InstanceId, SocketAddr),
     head: RelayedRequest,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Result<(Answer, u32), EngineError> {
     let guard = RelayGuard::new(app, &head.routing.model, id);
     let (remaining, streams) = (head.remaining.duration(), head.route.streams);
--- a/node/src/relay/serve.rs
+++ b/node/src/relay/serve.rs
@@ -46,7 +46,7 @@
         Ok(Err(error)) => return Err(bad(error.to_string())),
         Err(_) => return Err(bad("the relayed request was not received in time".into())),
     };
-    let (from, head, body) = decode_request(app, &app.links, bytes)?;
+    let (from, head, body) = decode_request(app, &app.links, bytes.into())?;
     let streams = head.route.streams;
     let pieces = proxy_relayed(app.clone(), from, head, body)?.with_permit(permit);
     let (mut response, source) = proxied_reply(pieces, streams).await?;
--- a/node/src/relay/wire.rs
+++ b/node/src/relay/wire.rs
@@ -6,8 +6,9 @@
     crate::{
         app::App,
         http::{full, Body},
+        intake::RequestBody,
     },
-    bytes::{BufMut, Bytes, BytesMut},
+    bytes::{BufMut, BytesMut},
     hyper::{
         header::{self, HeaderValue},
         HeaderMap, Method, Request, Response, StatusCode,
@@ -40,16 +41,15 @@
     app: &App,
     (to, at): (&InstanceId, SocketAddr),
     head: RelayedRequest,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Result<Request<Body>, String> {
     let message = Message::Relayed(Box::new(head));
     let frame = app.links.codec.seal(app, Some(to.clone()), message, MAX_HEAD_BYTES);
     let frame = frame.map_err(|e| e.to_string())?;
-    let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + frame.len() + body.len());
-    bytes.put_u32(frame.len() as u32);
-    bytes.put_slice(&frame);
-    bytes.put_slice(body);
-    let mut request = Request::new(full(bytes.freeze()));
+    let mut start = BytesMut::with_capacity(LENGTH_BYTES + frame.len());
+    start.put_u32(frame.len() as u32);
+    start.put_slice(&frame);
+    let mut request = Request::new(body.after(start.freeze()).to_http());
     *request.method_mut() = Method::POST;
     *request.uri_mut() = hyper::Uri::from_static("/relay");
     if let Ok(host) = at.to_string().parse() {
@@ -65,25 +65,19 @@
 pub fn decode_request(
     app: &App,
     links: &RelayLinks,
-    mut bytes: Bytes,
-) -> Result<(InstanceId, RelayedRequest, Bytes), Fault> {
+    mut body: RequestBody,
+) -> Result<(InstanceId, RelayedRequest, RequestBody), Fault> {
     let bad = |text: &str| Fault::new(ErrorKind::BadRequest, format!("relayed request: {text}"));
-    if bytes.len() < LENGTH_BYTES {
-        return Err(bad("it is too short"));
-    }
-    let length = bytes.split_to(LENGTH_BYTES);
+    let length = body.split_to(LENGTH_BYTES).ok_or_else(|| bad("it is too short"))?;
     let length = length.iter().fold(0, |sum, byte| sum << 8 | usize::from(*byte));
-    if bytes.len() < length {
-        return Err(bad("its head is cut off"));
-    }
-    let frame = bytes.split_to(length);
+    let frame = body.split_to(length).ok_or_else(|| bad("its head is cut off"))?;
     let envelope = links.codec.open(app, &frame, MAX_HEAD_BYTES);
     let envelope = envelope.map_err(|e| bad(&e.to_string()))?;
     let Message::Relayed(head) = envelope.body else { return Err(bad("it is another message")) };
-    if Fingerprint::of(&[head.path.as_bytes(), &bytes]) != head.checksum {
+    if Fingerprint::of_chunked(&[head.path.as_bytes()], body.parts()) != head.checksum {
         return Err(bad("its body was changed"));
     }
-    Ok((envelope.from.instance, *head, bytes))
+    Ok((envelope.from.instance, *head, body))
 }
 
 /// Creates the response to a request that is given up.
--- a/node/src/run/relay.rs
+++ b/node/src/run/relay.rs
@@ -4,11 +4,11 @@
         task::Task,
     },
     crate::{
+        intake::RequestBody,
         ports::{Answer, EngineError, Target},
         reach::{begin_check, running_check},
         relay::send_relayed,
     },
-    bytes::Bytes,
     lentil_core::{
         clock::Time,
         error::{ErrorKind, Fault},
@@ -123,7 +123,7 @@
     }
 
     /// Returns the head and the body of the request as another instance gets it.
-    fn relayed_request(&self) -> Option<(RelayedRequest, Bytes)> {
+    fn relayed_request(&self) -> Option<(RelayedRequest, RequestBody)> {
         let (request, now) = (&self.request, self.app.now());
         let proxied = request.proxied.as_ref()?;
         let original = &proxied.request;
@@ -137,7 +137,7 @@
             method: original.method.to_string(),
             path: original.path.clone(),
             headers: headers.collect(),
-            checksum: Fingerprint::of(&[original.path.as_bytes(), &original.body]),
+            checksum: Fingerprint::of_chunked(&[original.path.as_bytes()], original.body.parts()),
             route: (*proxied.route).clone(),
             version: proxied.version,
             routing,
