Bodies of relayed requests draw on the same memory

Callers saw: an instance out of memory, with the requests that other instances relayed to it.

Cause: a relayed request was read whole into a buffer of its own kind before it was known who sent it, for up to a quarter of limits.open at the same time.

Evidence, on the code before: 60 bodies of 4 MiB that stop short of their end held 269 MB, though each is given up after a second.

Change: they are read through the memory for request bodies. A relayed request that stalls or finds no room is refused as not run with 503, of a kind that earlier builds know; it was 400 before.

--- a/node/src/relay/serve.rs
+++ b/node/src/relay/serve.rs
@@ -4,7 +4,8 @@
         app::{App, Phase},
         commands::proxy_relayed,
         front::proxied_reply,
-        http::{read_all, Body},
+        http::Body,
+        intake::IntakeError,
     },
     hyper::{body::Incoming, header, header::HeaderValue, Request, Response},
     lentil_core::error::{ErrorKind, Fault, Outcome},
@@ -39,14 +40,14 @@
         Fault::new(ErrorKind::NoCapacity, "too many requests of other instances are in progress")
     })?;
     let limit = app.routes().map_or_else(|_| 0, |table| table.limits.body.0 as usize);
-    let read = timeout(READ_TIMEOUT, read_all(request.into_body(), limit + MAX_HEAD_BYTES)).await;
-    let bad = |text: String| Fault::new(ErrorKind::BadRequest, text);
-    let bytes = match read {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(error)) => return Err(bad(error.to_string())),
-        Err(_) => return Err(bad("the relayed request was not received in time".into())),
-    };
-    let (from, head, body) = decode_request(app, &app.links, bytes.into())?;
+    let mut body = request.into_body();
+    let read = timeout(READ_TIMEOUT, app.memory.read(&mut body, limit + MAX_HEAD_BYTES)).await;
+    let bytes = read.unwrap_or(Err(IntakeError::Stalled)).map_err(|error| match error {
+        // Earlier builds don't know the kind of this error, and it is no fault of the caller.
+        IntakeError::Stalled => Fault::new(ErrorKind::NoCapacity, error.to_string()),
+        error => error.into(),
+    })?;
+    let (from, head, body) = decode_request(app, &app.links, bytes)?;
     let streams = head.route.streams;
     let pieces = proxy_relayed(app.clone(), from, head, body)?.with_permit(permit);
     let (mut response, source) = proxied_reply(pieces, streams).await?;
