Bodies on our own interface draw on the same memory

Callers saw: an instance out of memory, as on the platform.

Cause: CallerRequest::read collected a body frame by frame, with no bound on time or on all bodies.

Change: they are read through the memory for request bodies, until the deadline of their class; calls of plain services stream its segments. A generation keeps its prompt in place of the body and takes memory for it until the run ends.

--- a/node/src/commands/generate.rs
+++ b/node/src/commands/generate.rs
@@ -4,6 +4,7 @@
         app::App,
         front::{error_event, json_response, CallerRequest, Shape, Usage},
         http::{streamed, Body},
+        intake::RequestBody,
         run::{self, Piece, Pieces, RunRequest},
     },
     bytes::Bytes,
@@ -24,11 +25,14 @@
 /// Any [`ErrorKind`]. Errors of a stream after its first token are sent as its last event.
 pub async fn generate(
     app: Arc<App>,
-    request: CallerRequest,
+    mut request: CallerRequest,
     shape: Shape,
 ) -> Result<Response<Body>, Fault> {
-    let params = GenerationRequest::parse(&request.body, shape)?;
-    let run_request = build_request(&app, &request, &params)?;
+    let params = GenerationRequest::parse(&request.body.to_bytes(), shape)?;
+    // From here on, the prompt is held in place of the body.
+    request.body = RequestBody::default();
+    let held = app.memory.hold(params.prompt.len())?;
+    let run_request = RunRequest { held: Some(held), ..build_request(&app, &request, &params)? };
     let (prompt, model) = (run_request.routing.prompt, params.model.clone());
     let mut pieces = run::start(app, run_request);
     // The response begins only with the first token, so that a request that is refused before gets
@@ -80,6 +84,7 @@
             rank: class.rank(),
             class,
         },
+        held: None,
         prompt: params.prompt.clone(),
         proxied: None,
         relayed: None,
--- a/node/src/commands/proxy.rs
+++ b/node/src/commands/proxy.rs
@@ -112,6 +112,7 @@
             rank: class.rank(),
             class,
         },
+        held: None,
         prompt: String::new(),
         proxied: Some(Proxied {
             request: Arc::new(request),
--- a/node/src/commands/relayed.rs
+++ b/node/src/commands/relayed.rs
@@ -58,6 +58,7 @@
         arrived: now.earlier(head.waited.duration()),
         max_tokens: head.max,
         routing: head.routing,
+        held: None,
         prompt: String::new(),
         proxied: Some(Proxied {
             request: Arc::new(request),
--- a/node/src/commands/service.rs
+++ b/node/src/commands/service.rs
@@ -4,6 +4,7 @@
         app::{App, TargetView},
         front::CallerRequest,
         http::{full, Body},
+        intake::RequestBody,
         ports::ServiceError,
     },
     bytes::Bytes,
@@ -38,7 +39,7 @@
     method: hyper::Method,
     path: String,
     headers: HeaderMap,
-    body: Bytes,
+    body: RequestBody,
     timeout: Duration,
 }
 
@@ -111,7 +112,8 @@
     key: &str,
 ) -> Result<Response<Bytes>, Fault> {
     let method = service_call.method.as_str().as_bytes();
-    let body = Fingerprint::of(&[method, service_call.path.as_bytes(), &service_call.body]);
+    let parts = [method, service_call.path.as_bytes()];
+    let body = Fingerprint::of_chunked(&parts, service_call.body.parts());
     let run = match claim(app, &request.caller, &service_call.service, key, body).await? {
         ClaimStart::Granted(run) => run,
         ClaimStart::Answered(stored) => return replay(stored),
@@ -178,7 +180,7 @@
         if let Some(host) = host {
             request.headers_mut().insert(header::HOST, host);
         }
-        *request.body_mut() = full(self.body.clone());
+        *request.body_mut() = self.body.to_http();
         request
     }
 
--- a/node/src/daemon/serve.rs
+++ b/node/src/daemon/serve.rs
@@ -3,7 +3,7 @@
         app::{App, Phase, Ports},
         control, follow,
         front::Front,
-        http, mesh,
+        http, intake, mesh,
     },
     anyhow::{Context, Result},
     lentil_core::settings::Settings,
@@ -83,6 +83,7 @@
     let front = http::serve(sockets.callers, Front::new(app.clone()), stopped, drain, limits);
     let front = tokio::spawn(front);
     let tasks = [
+        tokio::spawn(intake::watch_bodies(app.clone())),
         tokio::spawn(mesh::listen_datagrams(app.clone(), datagrams)),
         tokio::spawn(mesh::listen_requests(app.clone(), sockets.requests)),
         tokio::spawn(mesh::send_heartbeats(app.clone())),
--- a/node/src/front/caller_request.rs
+++ b/node/src/front/caller_request.rs
@@ -1,19 +1,24 @@
 use {
     crate::{
         app::App,
-        http::{read_all, ReadError},
+        intake::{IntakeError, RequestBody},
     },
-    bytes::Bytes,
     hyper::{body::Incoming, header, HeaderMap, Method, Request},
     lentil_core::{
         clock::Time,
-        error::{ErrorKind, Fault},
+        error::Fault,
         ids::CallerId,
         manifest::{CallerSpec, ClassName, ClassSpec, ManifestIndex},
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
 };
 
+/// Header that names a class other than the caller's own.
+const CLASS_HEADER: &str = "lentil-class";
+/// Timeout for reading the body of a request of no known class.
+const NO_CLASS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// An authenticated request of a caller.
 pub struct CallerRequest {
     /// Manifest that applies to the request; later manifests do not affect it.
@@ -31,30 +36,30 @@
     /// Request headers as received.
     pub headers: HeaderMap,
     /// Complete request body, within the configured size limit.
-    pub body: Bytes,
+    pub body: RequestBody,
 }
 
 impl CallerRequest {
     /// Authenticates the caller by its bearer key and reads the body.
     ///
     /// # Errors
-    /// Returns [`ErrorKind::NotReady`] if no manifest is active yet, [`ErrorKind::NoCaller`] if the
-    /// key is missing or unknown, [`ErrorKind::TooLarge`] if the body exceeds the limit, and
-    /// [`ErrorKind::BadRequest`] if the body can't be read.
+    /// Returns [`NotReady`](lentil_core::error::ErrorKind::NotReady) if no manifest is active yet,
+    /// [`NoCaller`](lentil_core::error::ErrorKind::NoCaller) if the key is missing or unknown, and the
+    /// kind of an [`IntakeError`] if the body is not read.
     pub async fn read(app: &App, request: Request<Incoming>) -> Result<Self, Fault> {
         let arrived = app.now();
         let index = app.manifest_index()?;
-        let (head, body) = request.into_parts();
+        let (head, mut body) = request.into_parts();
         let (caller, spec) = index.caller(bearer_key(&head.headers))?;
         let (caller, spec) = (caller.clone(), spec.clone());
-        let limit = app.settings.limits.body;
-        let body = read_all(body, limit.0 as usize).await.map_err(|e| match e {
-            ReadError::TooLarge => Fault::new(
-                ErrorKind::TooLarge,
-                format!("the request body is larger than {limit} bytes"),
-            ),
-            ReadError::Failed(text) => Fault::new(ErrorKind::BadRequest, text),
-        })?;
+        let class = head.headers.get(CLASS_HEADER).and_then(|name| name.to_str().ok());
+        // After the deadline of its class the request could no longer be served in time. What names
+        // no class, or a wrong one, is refused or answered from the head.
+        let time = index
+            .class(&spec, class)
+            .map_or(NO_CLASS_TIMEOUT, |(_, class)| class.deadline.duration());
+        let read = app.memory.read(&mut body, app.settings.limits.body.0 as usize);
+        let body = timeout(time, read).await.unwrap_or(Err(IntakeError::Stalled))?;
         let path = head.uri.path_and_query().map_or_else(String::new, ToString::to_string);
         let (method, headers) = (head.method, head.headers);
         Ok(Self { index, caller, spec, arrived, method, path, headers, body })
@@ -68,9 +73,9 @@
     /// Returns the class named by the `lentil-class` header, or the caller's default class.
     ///
     /// # Errors
-    /// Returns [`ErrorKind::BadRequest`] if the class does not exist.
+    /// Returns [`BadRequest`](lentil_core::error::ErrorKind::BadRequest) if the class does not exist.
     pub fn class(&self) -> Result<(ClassName, ClassSpec), Fault> {
-        self.index.class(&self.spec, self.header("lentil-class"))
+        self.index.class(&self.spec, self.header(CLASS_HEADER))
     }
 }
 
--- a/node/src/intake/request_memory.rs
+++ b/node/src/intake/request_memory.rs
@@ -10,6 +10,7 @@
     },
     std::{
         collections::HashMap,
+        fmt,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -113,6 +114,25 @@
     memory: Arc<RequestMemory>,
 }
 
+/// Memory that a request holds in place of its body; it is free again on drop.
+pub struct HeldMemory {
+    bytes: usize,
+    memory: Arc<RequestMemory>,
+}
+
+impl fmt::Debug for HeldMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "HeldMemory({})", self.bytes)
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.memory.state().budget.give_back(self.bytes);
+        self.memory.freed.notify_waiters();
+    }
+}
+
 /// A body that arrives.
 struct Arrival {
     id: ArrivalId,
@@ -250,6 +270,19 @@
         Err(IntakeError::Full)
     }
 
+    /// Takes `bytes` for what a request holds in place of its body.
+    ///
+    /// # Errors
+    /// [`IntakeError::Full`] if there is no room.
+    pub fn hold(self: &Arc<Self>, bytes: usize) -> Result<Arc<HeldMemory>, IntakeError> {
+        let mut state = self.state();
+        if !state.budget.take(0, bytes) {
+            return Err(IntakeError::Full);
+        }
+        state.trim();
+        Ok(Arc::new(HeldMemory { bytes, memory: self.clone() }))
+    }
+
     /// Gives up the bodies that have stalled for too long.
     pub fn give_up_stalled(&self, stopping: bool) {
         let mut state = self.state();
@@ -272,13 +305,15 @@
     /// Returns a buffer of `capacity` bytes, which were taken from the budget before.
     fn buffer(&mut self, capacity: usize) -> Vec<u8> {
         let reused = if capacity == SEGMENT { self.spare.pop() } else { None };
-        while self.budget.used() + self.spare.len() * SEGMENT > self.budget.capacity() {
-            if self.spare.pop().is_none() {
-                break;
-            }
-        }
+        self.trim();
         reused.unwrap_or_else(|| Vec::with_capacity(capacity))
     }
+
+    /// Frees spare segments that would take more than the budget together with the used bytes.
+    fn trim(&mut self) {
+        let free = self.budget.capacity().saturating_sub(self.budget.used());
+        self.spare.truncate(free / SEGMENT);
+    }
 }
 
 impl AsRef<[u8]> for Buffer {
--- a/node/src/run/request.rs
+++ b/node/src/run/request.rs
@@ -1,5 +1,5 @@
 use {
-    crate::ports::ProxyRequest,
+    crate::{intake::HeldMemory, ports::ProxyRequest},
     lentil_core::{
         clock::Time,
         ids::{CallerId, Fingerprint, InstanceId, PrefixHash, Revision, WorkspaceId},
@@ -30,6 +30,8 @@
     pub max_tokens: u32,
     /// Model, prompt size and objectives, by which engines are chosen.
     pub routing: RoutingRequest,
+    /// Memory taken for the prompt.
+    pub held: Option<Arc<HeldMemory>>,
     /// The prompt; empty for a proxied request.
     pub prompt: String,
     /// The original HTTP request, if it is forwarded unchanged.
