The rest of a refused body is read before its connection is closed

Callers saw: no answer to a body over the limit. 0 of 40 saw the 413, which is not to be retried, and so may have come again.

Cause: the connection was closed while bytes of the body were unread or still coming, which resets it; the answer is lost with it. It is the same for every answer given before the body was read.

Evidence, on the code before: a client that sends 16 MiB, announced or in chunks, and then reads gets a reset connection.

Change: the answer is sent at once, with Connection: close. A body that stalled is not awaited; a caller that waits for leave to send its body (Expect) gets the answer instead.

Measured: both get their 413.

--- a/node/src/front/caller_request.rs
+++ b/node/src/front/caller_request.rs
@@ -3,7 +3,7 @@
         app::App,
         intake::{IntakeError, RequestBody},
     },
-    hyper::{body::Incoming, header, HeaderMap, Method, Request},
+    hyper::{body::Incoming, header, http::request::Parts, HeaderMap, Method},
     lentil_core::{
         clock::Time,
         error::Fault,
@@ -46,10 +46,9 @@
     /// Returns [`NotReady`](lentil_core::error::ErrorKind::NotReady) if no manifest is active yet,
     /// [`NoCaller`](lentil_core::error::ErrorKind::NoCaller) if the key is missing or unknown, and the
     /// kind of an [`IntakeError`] if the body is not read.
-    pub async fn read(app: &App, request: Request<Incoming>) -> Result<Self, Fault> {
+    pub async fn read(app: &App, head: Parts, body: &mut Incoming) -> Result<Self, Fault> {
         let arrived = app.now();
         let index = app.manifest_index()?;
-        let (head, mut body) = request.into_parts();
         let (caller, spec) = index.caller(bearer_key(&head.headers))?;
         let (caller, spec) = (caller.clone(), spec.clone());
         let class = head.headers.get(CLASS_HEADER).and_then(|name| name.to_str().ok());
@@ -58,7 +57,7 @@
         let time = index
             .class(&spec, class)
             .map_or(NO_CLASS_TIMEOUT, |(_, class)| class.deadline.duration());
-        let read = app.memory.read(&mut body, app.settings.limits.body.0 as usize);
+        let read = app.memory.read(body, app.settings.limits.body.0 as usize);
         let body = timeout(time, read).await.unwrap_or(Err(IntakeError::Stalled))?;
         let path = head.uri.path_and_query().map_or_else(String::new, ToString::to_string);
         let (method, headers) = (head.method, head.headers);
--- a/node/src/front/router.rs
+++ b/node/src/front/router.rs
@@ -4,10 +4,11 @@
         app::{App, Phase},
         commands,
         http::Body,
+        intake::{awaits_leave, discard_rest},
         queries,
     },
     futures_util::future::BoxFuture,
-    hyper::{body::Incoming, Method, Request, Response},
+    hyper::{body::Incoming, http::request::Parts, Method, Request, Response},
     lentil_core::error::{ErrorKind, Fault},
     std::{
         convert::Infallible,
@@ -35,8 +36,15 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let app = self.app.clone();
         Box::pin(async move {
-            let answer = dispatch(app, request).await;
-            Ok(answer.unwrap_or_else(|fault| error_response(&fault)))
+            let (head, mut body) = request.into_parts();
+            let sends = !awaits_leave(&head.headers);
+            let answer = dispatch(app, head, &mut body).await;
+            Ok(answer.unwrap_or_else(|fault| {
+                if sends {
+                    discard_rest(&fault, body);
+                }
+                error_response(&fault)
+            }))
         })
     }
 }
@@ -92,13 +100,17 @@
     }
 }
 
-async fn dispatch(app: Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
+async fn dispatch(
+    app: Arc<App>,
+    head: Parts,
+    body: &mut Incoming,
+) -> Result<Response<Body>, Fault> {
     if *app.phase.borrow() == Phase::Draining {
         return Err(Fault::new(ErrorKind::Stopping, "this instance is stopping"));
     }
-    let path = request.uri().path().to_owned();
-    let method = request.method().clone();
-    let request = CallerRequest::read(&app, request).await?;
+    let path = head.uri.path().to_owned();
+    let method = head.method.clone();
+    let request = CallerRequest::read(&app, head, body).await?;
     if let Some(rest) = path.strip_prefix("/services/") {
         return commands::call_service(app, request, rest).await;
     }
--- a/node/src/intake/request_memory.rs
+++ b/node/src/intake/request_memory.rs
@@ -53,13 +53,6 @@
     Failed(String),
 }
 
-impl IntakeError {
-    /// Returns whether the caller may still be sending.
-    pub fn caller_sends(&self) -> bool {
-        matches!(self, Self::TooLarge(_) | Self::Full)
-    }
-}
-
 impl From<IntakeError> for Fault {
     fn from(error: IntakeError) -> Self {
         let kind = match error {
