Connections to each address have a limit, and the oldest unfinished yields

Callers saw: no answer while a crowd of connections was open; without descriptors the instance also lost the store, and with it its lease, for 20 s. Heads of 60 KB that never end took its memory.

Cause: connections were accepted without a limit. A head had 64 KiB and 60 s, idle time included, whatever the configuration says; probes, scrapes, relays and callers drew on the same descriptors, and so did the instance's own connections.

Evidence, on the code before: 420 connections with one byte each opened all 400 descriptors, at each of the four addresses; 4,000 heads held 190 MB.

Change: each address has a share of the descriptors and of the memory, by what its connections do. When it is used up, the oldest unfinished head yields, then what has been idle longest, then an answer that was not read for 2 s; a request in progress never does. A request beyond the share gets 503. Size and time of a head and idle time follow the configuration, with 4 KiB and 2 s to spare for the request line and the network; the time of a head begins with its first byte, and pauses of the instance don't count. An answer of which nothing is read for 30 s is given up. Receive buffers are 64 KiB.

--- a/core/src/intake/mod.rs
+++ b/core/src/intake/mod.rs
@@ -3,9 +3,12 @@
 mod active_time;
 mod arrivals;
 mod body_budget;
+mod connections;
 mod shares;
 
-pub use {active_time::*, arrivals::*, body_budget::*, shares::*};
+pub use {active_time::*, arrivals::*, body_budget::*, connections::*, shares::*};
 
+#[cfg(test)]
+mod connection_tests;
 #[cfg(test)]
 mod tests;
--- a/core/src/intake/shares.rs
+++ b/core/src/intake/shares.rs
@@ -39,7 +39,7 @@
 /// Share for callers' connections and what is kept for each of them.
 const CONNECTION_SHARE: f64 = 0.30;
 /// Share for the connections of other instances that relay requests.
-const RELAY_CONNECTION_SHARE: f64 = 0.04;
+const RELAY_CONNECTION_SHARE: f64 = 0.06;
 /// Descriptors that the platform keeps for files; few enough processes have less.
 const FILE_DESCRIPTORS: u64 = 200;
 /// Least part of the descriptors that is kept for files.
--- a/fakes/src/server/loopback.rs
+++ b/fakes/src/server/loopback.rs
@@ -1,6 +1,6 @@
 use {
     hyper::{body::Incoming, Request, Response},
-    lentil_node::http::{serve, Body, ConnectionLimits},
+    lentil_node::http::{serve, Body, Connections},
     std::{
         convert::Infallible,
         future::Future,
@@ -46,7 +46,7 @@
         let task = tokio::spawn(async move {
             // The sender is dropped when the task is aborted, which stops the server.
             let (_stop, stopped) = watch::channel(false);
-            serve(listener, service, stopped, Duration::ZERO, ConnectionLimits::default()).await;
+            serve(listener, service, stopped, Duration::ZERO, Connections::unlimited()).await;
         });
         *self.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
     }
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -15,7 +15,7 @@
     crate::{
         claims::ClaimStore,
         control::CellLeases,
-        intake::{descriptor_limit, RequestMemory},
+        intake::{descriptor_limit, AddressConnections, CurrentHeadLimits, RequestMemory},
         mesh::{FrameCodec, PeerVersions, Questions, Refusals},
         metrics::Metrics,
         ports::{
@@ -126,6 +126,10 @@
     pub shares: IntakeShares,
     /// Memory for the bodies of requests.
     pub memory: Arc<RequestMemory>,
+    /// Connections to the addresses of this instance.
+    pub connections: AddressConnections,
+    /// Limits on callers' heads that are in force.
+    head_limits: Arc<CurrentHeadLimits>,
     /// Permits for concurrent requests; `limits.open` sets their number.
     pub run_permits: Arc<Semaphore>,
     /// Current phase; tasks watch it to stop.
@@ -195,12 +199,15 @@
             zone: settings.zone.clone(),
         };
         let timing = DetectorTiming { interval: settings.mesh.beat.duration() };
+        let head_limits = Arc::new(CurrentHeadLimits::default());
         let shares = settings.limits.shares(descriptor_limit());
         let claims = ClaimStore::new(ports.store.clone(), settings.claims.clone(), clock);
         Self {
             member_view: Mutex::new(MemberView::new(info, timing)),
             admission: Mutex::new(Admission::new(settings.limits.retries, resend_limit(&settings))),
             memory: RequestMemory::new(&shares, clock),
+            connections: AddressConnections::new(&shares, head_limits.clone(), clock),
+            head_limits,
             shares,
             run_permits: Arc::new(Semaphore::new(settings.limits.open)),
             metrics: Metrics::new(),
@@ -399,6 +406,7 @@
             }
             *routes = Some(table.clone());
         }
+        self.head_limits.set(&table.limits);
         self.metrics.revision.set(table.version.0 as i64);
         let rule = self.settings.hosted.as_ref().map_or_else(Default::default, |h| h.prefixes);
         self.fleet().configure(&table.services, rule);
--- a/node/src/daemon/hosted.rs
+++ b/node/src/daemon/hosted.rs
@@ -3,7 +3,7 @@
     crate::{
         app::{App, Phase},
         control, follow,
-        http::{self, Body, ConnectionLimits},
+        http::{self, Body},
         intake, mesh,
         ports::Directory,
         queries, reach,
@@ -47,7 +47,6 @@
     sockets: HostedSockets,
     directory: Arc<dyn Directory>,
     front: S,
-    limits: ConnectionLimits,
     stop: impl Future<Output = ()>,
 ) where
     S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
@@ -67,8 +66,10 @@
     let relay_app = app.clone();
     let relay = tower::service_fn(move |request| serve_relayed(relay_app.clone(), request));
     let relayed = sockets.relay.map(|listener| {
+        let limits = app.connections.relays.clone();
         tokio::spawn(http::serve(listener, relay, stopped.clone(), drain_limit, limits))
     });
+    let limits = app.connections.callers.clone();
     let served = http::serve(sockets.base.callers, front, stopped, drain_limit, limits);
     let served = tokio::spawn(async move {
         let _ = served.await;
@@ -84,9 +85,15 @@
             probes.clone(),
             running.clone(),
             drain_limit,
-            limits,
+            app.connections.probes.clone(),
+        )),
+        tokio::spawn(http::serve(
+            sockets.metrics,
+            probes,
+            running,
+            drain_limit,
+            app.connections.scrapes.clone(),
         )),
-        tokio::spawn(http::serve(sockets.metrics, probes, running, drain_limit, limits)),
         tokio::spawn(mesh::listen_datagrams(app.clone(), datagrams)),
         tokio::spawn(mesh::listen_requests(app.clone(), sockets.base.requests)),
         tokio::spawn(mesh::send_heartbeats(app.clone())),
--- a/node/src/daemon/serve.rs
+++ b/node/src/daemon/serve.rs
@@ -79,8 +79,8 @@
     let _ = app.socket.set(datagrams.clone());
     let (stop_front, stopped) = watch::channel(false);
     let drain = app.settings.limits.drain.duration();
-    let limits = http::ConnectionLimits::default();
-    let front = http::serve(sockets.callers, Front::new(app.clone()), stopped, drain, limits);
+    let callers = app.connections.callers.clone();
+    let front = http::serve(sockets.callers, Front::new(app.clone()), stopped, drain, callers);
     let front = tokio::spawn(front);
     let tasks = [
         tokio::spawn(intake::watch_bodies(app.clone())),
--- a/node/src/front/router.rs
+++ b/node/src/front/router.rs
@@ -3,7 +3,7 @@
     crate::{
         app::{App, Phase},
         commands,
-        http::Body,
+        http::{Body, OverCapacity},
         intake::{awaits_leave, discard_rest},
         queries,
     },
@@ -108,6 +108,10 @@
     if *app.phase.borrow() == Phase::Draining {
         return Err(Fault::new(ErrorKind::Stopping, "this instance is stopping"));
     }
+    if head.extensions.get::<OverCapacity>().is_some() {
+        let text = "too many connections are in use";
+        return Err(Fault::new(ErrorKind::NoCapacity, text));
+    }
     let path = head.uri.path().to_owned();
     let method = head.method.clone();
     let request = CallerRequest::read(&app, head, body).await?;
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -2,7 +2,9 @@
 
 mod body;
 mod body_budget;
+mod caller_stream;
 mod client;
+mod connections;
 mod event_splitter;
 mod event_stream;
 mod hop_by_hop;
@@ -10,8 +12,9 @@
 mod lingering;
 mod pool;
 mod server;
+mod tracked_body;
 
 pub use {
-    body::*, body_budget::*, client::*, event_splitter::*, event_stream::*, hop_by_hop::*,
-    limited_stream::*, lingering::*, pool::*, server::*,
+    body::*, body_budget::*, client::*, connections::*, event_splitter::*, event_stream::*,
+    hop_by_hop::*, limited_stream::*, lingering::*, pool::*, server::*,
 };
