Limits follow the memory and descriptors of the machine

Cause: the bodies of requests were not bounded (fixed before), and those of answers by constants, 12 and 4 MB, whatever the machine has.

Change: limits.memory (MB) and limits.descriptors, which the template of the platform's settings fills in; answers get 6% of the memory and relayed ones 2%. Without the settings, the memory is that of the smallest machine, 120 MB, and the descriptors are the system's limit.

--- a/core/src/settings/tests.rs
+++ b/core/src/settings/tests.rs
@@ -18,6 +18,8 @@
         ("\"log\": \"loud\", \"instance\"", "\"instance\"", "log"),
         ("\"key\": \"short\"", "\"key\": \"0123456789abcdef\"", "mesh.key"),
         ("\"store\": 5", "\"store\": \"127.0.0.1:1\"", "platform.store"),
+        ("\"limits\": {\"memory\": 20}, \"instance\"", "\"instance\"", "limits.memory"),
+        ("\"limits\": {\"descriptors\": 9}, \"instance\"", "\"instance\"", "limits.descriptors"),
         ("\"stroe\": 5, \"store\"", "\"store\"", "platform.stroe"),
     ];
     for (new, old, path) in cases {
--- a/node/src/app/mod.rs
+++ b/node/src/app/mod.rs
@@ -238,7 +238,7 @@
             trial_questions: Questions::default(),
             peer_routes: Notify::new(),
             investigations: Mutex::default(),
-            links: RelayLinks::new(settings.limits.open),
+            links: RelayLinks::new(settings.limits.open, shares.relayed),
             reach_changed: watch::Sender::default(),
             reach: Mutex::default(),
             reach_checks: Mutex::default(),
--- a/node/src/relay/links.rs
+++ b/node/src/relay/links.rs
@@ -7,8 +7,6 @@
     tokio::sync::Semaphore,
 };
 
-/// Most bytes of relayed answers that are held at the same time, beyond a small part of each.
-const MAX_BUFFERED_BYTES: usize = 4 << 20;
 /// Part of the concurrent requests of an instance that may come from other instances.
 const RELAYED_PART: usize = 4;
 
@@ -26,11 +24,12 @@
 }
 
 impl RelayLinks {
-    /// Creates the links of an instance that runs up to `open` requests at the same time.
-    pub fn new(open: usize) -> Self {
+    /// Creates the links of an instance that runs up to `open` requests at the same time, and holds up
+    /// to `answers` bytes of relayed answers, beyond a small part of each.
+    pub fn new(open: usize, answers: usize) -> Self {
         Self {
             pool: Arc::default(),
-            bodies: BodyBudget::new(MAX_BUFFERED_BYTES),
+            bodies: BodyBudget::new(answers),
             codec: FrameCodec::default(),
             permits: Arc::new(Semaphore::new((open / RELAYED_PART).max(1))),
         }
