--- a/ctl/src/queries/instances.rs
+++ b/ctl/src/queries/instances.rs
@@ -81,6 +81,15 @@
 fn print_status(status: &queries::Status) {
     let ready = if status.ready { "ready" } else { "not ready" };
     println!("instance {}: {ready}, manifest revision {}", status.instance, status.revision);
+    for limit in &status.intake {
+        println!(
+            "  {}: {} open, {} of {} KB held",
+            limit.kind,
+            limit.count,
+            limit.bytes / 1_000,
+            limit.limit / 1_000
+        );
+    }
     for member in &status.members {
         println!("  instance {}: {:?}", member.instance, member.state);
     }
--- a/daemon/tests/crowd.rs
+++ b/daemon/tests/crowd.rs
@@ -184,6 +184,22 @@
     check_beside(&mut process, crowd).await;
 }
 
+#[cfg_attr(debug_assertions, ignore = "measures the optimized program")]
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_bodies_do_not_hold_up_a_stop() {
+    let (deployment, mut process) = start().await;
+    let mut config = crowd_config();
+    config["version"] = 5.into();
+    config["routes"][0]["timeout_ms"] = 60_000.into();
+    deployment.store.put("op/config", config.to_string());
+    hold().await;
+    let body = bytes_of(MAX_BODY - 1);
+    let parts = |i| vec![head_with_length(i, MAX_BODY), body.clone()];
+    let _crowd = send_all(process.front, 4, parts).await;
+    let log = process.stop().await;
+    assert!(log.contains("daemon: stop ends cut=false"), "{log}");
+}
+
 #[cfg_attr(debug_assertions, ignore = "measures the optimized program")]
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_in_a_row_whose_answers_are_not_read() {
--- a/daemon/tests/crowds/process.rs
+++ b/daemon/tests/crowds/process.rs
@@ -1,6 +1,10 @@
 use {
     crate::platform::{config, Caller, Deployment},
     lentil_fakes::deployment::free_address,
+    nix::{
+        sys::signal::{kill, Signal},
+        unistd::Pid,
+    },
     serde_json::{json, Value},
     std::{
         fs,
@@ -146,6 +150,17 @@
         assert!(peak <= MAX_MEMORY, "the process held {} MB", peak / 1_000_000);
     }
 
+    /// Stops the process and waits until it has ended; returns its log.
+    pub async fn stop(&mut self) -> String {
+        kill(Pid::from_raw(self.child.id() as i32), Signal::SIGTERM).unwrap();
+        let end = Instant::now() + PATIENCE;
+        while self.child.try_wait().unwrap().is_none() {
+            assert!(Instant::now() < end, "the process does not end");
+            sleep(Duration::from_millis(50)).await;
+        }
+        fs::read_to_string(self.folder.join("log")).unwrap()
+    }
+
     /// Sends one request on new connections until it is served.
     pub async fn serve_ordinary(&self, request: &str) {
         let end = Instant::now() + PATIENCE;
--- a/node/src/http/connections.rs
+++ b/node/src/http/connections.rs
@@ -1,12 +1,15 @@
 use {
     crate::app::Clock,
-    lentil_core::intake::{
-        ConnectionId, ConnectionShare, ConnectionState, ConnectionTable, ConnectionTimes,
+    lentil_core::{
+        clock::Time,
+        intake::{
+            ConnectionId, ConnectionShare, ConnectionState, ConnectionTable, ConnectionTimes,
+        },
     },
     std::{
         collections::HashMap,
         sync::{
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
             Arc, Mutex, MutexGuard, PoisonError,
         },
         time::Duration,
@@ -76,6 +79,9 @@
     source: Arc<dyn HeadLimitSource>,
     share: ConnectionShare,
     clock: Clock,
+    /// Time of the latest check or new connection. It is precise enough for the limits, and saves
+    /// reading the clock several times a request.
+    now: AtomicU64,
     /// Name of the address in log lines and metrics.
     name: &'static str,
 }
@@ -108,7 +114,14 @@
             expired: [0; 5],
             unlogged: 0,
         };
-        Arc::new(Self { state: Mutex::new(state), source, share, clock, name })
+        Arc::new(Self {
+            state: Mutex::new(state),
+            source,
+            share,
+            clock,
+            now: AtomicU64::new(0),
+            name,
+        })
     }
 
     /// Creates the limits of an address that only trusted clients know, such as that of a fake.
@@ -121,6 +134,17 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Reads the clock for this and the following decisions.
+    fn update_time(&self) -> Time {
+        let now = self.clock.now();
+        self.now.store(now.as_micros(), Ordering::Relaxed);
+        now
+    }
+
+    fn recent_time(&self) -> Time {
+        Time::from_micros(self.now.load(Ordering::Relaxed))
+    }
+
     /// Returns the name of the address.
     pub fn name(&self) -> &'static str {
         self.name
@@ -146,7 +170,8 @@
     /// Adds a connection.
     pub(super) fn open(self: &Arc<Self>) -> Arc<OpenConnection> {
         let head = self.buffer_size();
-        let id = self.state().table.open(head, self.clock.now());
+        let now = self.update_time();
+        let id = self.state().table.open(head, now);
         Arc::new(OpenConnection {
             id,
             connections: self.clone(),
@@ -170,7 +195,7 @@
 
     /// Closes connections until the rest are within their share; returns whether they are.
     fn relieve(&self, state: &mut State) -> bool {
-        let now = self.clock.now();
+        let now = self.recent_time();
         while state.table.is_over() {
             let Some((id, reason)) = state.table.yielding(now) else { return false };
             state.yielded[index(reason)] += 1;
@@ -187,8 +212,9 @@
             head: limits.time + NETWORK_DELAY,
             blocked: MAX_BLOCK,
         };
+        let now = self.update_time();
         let mut state = self.state();
-        for (id, reason) in state.table.expired(&times, self.clock.now()) {
+        for (id, reason) in state.table.expired(&times, now) {
             state.expired[index(reason)] += 1;
             // Callers let idle connections expire as a matter of course.
             state.unlogged += u64::from(reason != ConnectionState::Idle);
@@ -265,7 +291,7 @@
         };
         let connections = &self.connections;
         let mut state = connections.state();
-        state.table.enter(self.id, new, connections.clock.now());
+        state.table.enter(self.id, new, connections.recent_time());
         connections.relieve(&mut state)
     }
 }
--- a/node/src/metrics/mod.rs
+++ b/node/src/metrics/mod.rs
@@ -1,5 +1,9 @@
 //! Prometheus metrics of an instance.
 
+mod intake;
+
+pub use intake::*;
+
 use {
     lentil_core::ids::{EngineId, WorkspaceId},
     prometheus::{
@@ -123,6 +127,8 @@
     pub resends_left: IntGauge,
     /// Resident memory of the process in bytes.
     pub resident_bytes: IntGauge,
+    /// Memory, connections and bodies of callers' requests.
+    pub intake: IntakeMetrics,
     /// Targets with a label of their own in `attempts`.
     labelled: Mutex<BTreeSet<EngineId>>,
     /// Requests by workspace and what was missed.
@@ -341,6 +347,7 @@
             ),
             resends_left: gauge("lentil_resends_left", "Resends that may be made now"),
             resident_bytes: gauge("lentil_memory_bytes", "Memory of the process"),
+            intake: IntakeMetrics::new(&r),
             labelled: Mutex::default(),
             workspace_requests: counters(
                 "lentil_workspace_requests_total",
--- a/node/src/queries/probe.rs
+++ b/node/src/queries/probe.rs
@@ -77,6 +77,10 @@
     app.metrics.retain_targets(|target| known.contains(target));
     app.metrics.resends_left.set(app.admission().resends_left(size, now));
     app.metrics.resident_bytes.set(resident_bytes());
+    app.metrics.intake.update_bodies(&app.memory.usage());
+    for connections in app.connections.all() {
+        app.metrics.intake.update_connections(connections);
+    }
     app.metrics.members.set(members as i64);
     let (suspects, quarantined, parts) = {
         let quarantine = app.quarantine();
--- a/node/src/queries/status.rs
+++ b/node/src/queries/status.rs
@@ -27,6 +27,22 @@
     /// of builds before 0.2.0.
     #[serde(default)]
     pub builds: Vec<BuildStatus>,
+    /// What callers make it hold. Empty in answers of earlier builds.
+    #[serde(default)]
+    pub intake: Vec<IntakeStatus>,
+}
+
+/// Use of a limit on what callers make an instance hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IntakeStatus {
+    /// What is limited: `bodies`, or the connections to one address.
+    pub kind: String,
+    /// Number of arriving bodies, or of connections.
+    pub count: usize,
+    /// Bytes held.
+    pub bytes: usize,
+    /// Most bytes that may be held.
+    pub limit: usize,
 }
 
 /// The build that an instance runs.
@@ -96,9 +112,30 @@
         members,
         engines,
         builds: builds(app),
+        intake: intake(app),
     }
 }
 
+fn intake(app: &App) -> Vec<IntakeStatus> {
+    let bodies = app.memory.usage();
+    let bodies = IntakeStatus {
+        kind: "bodies".into(),
+        count: bodies.bodies,
+        bytes: bodies.used,
+        limit: bodies.capacity,
+    };
+    let addresses = app.connections.all().map(|connections| {
+        let usage = connections.usage();
+        IntakeStatus {
+            kind: connections.name().into(),
+            count: usage.counts.iter().sum(),
+            bytes: usage.bytes,
+            limit: usage.max_bytes,
+        }
+    });
+    std::iter::once(bodies).chain(addresses).collect()
+}
+
 /// Returns the builds of this instance, of the members of its view and of those that have announced
 /// one. An announcement of an earlier incarnation than the member's is not the member's.
 fn builds(app: &App) -> Vec<BuildStatus> {
