Intake in smaller files; a short rest of a refused body keeps its connection

A body that waited for memory did not notice that it had to yield itself: both waited for up to a second and were refused. The whole reading now ends with the eviction. An answer given before a body of at most 64 KiB was read no longer closes a kept connection, which cost its caller a new one; our own interface says Connection: close where it closes.

RequestMemory is split into the memory, its buffers and the collector of a body; the two wrappers of connections are one, with an observer.

--- a/node/src/front/router.rs
+++ b/node/src/front/router.rs
@@ -8,7 +8,12 @@
         queries,
     },
     futures_util::future::BoxFuture,
-    hyper::{body::Incoming, http::request::Parts, Method, Request, Response},
+    hyper::{
+        body::Incoming,
+        header::{self, HeaderValue},
+        http::request::Parts,
+        Method, Request, Response,
+    },
     lentil_core::error::{ErrorKind, Fault},
     std::{
         convert::Infallible,
@@ -37,13 +42,15 @@
         let app = self.app.clone();
         Box::pin(async move {
             let (head, mut body) = request.into_parts();
-            let sends = !awaits_leave(&head.headers);
+            let waits = awaits_leave(&head.headers);
             let answer = dispatch(app, head, &mut body).await;
             Ok(answer.unwrap_or_else(|fault| {
-                if sends {
-                    discard_rest(&fault, body);
+                let mut response = error_response(&fault);
+                if discard_rest(&fault, waits, body) {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
                 }
-                error_response(&fault)
+                response
             }))
         })
     }
--- a/node/src/http/client.rs
+++ b/node/src/http/client.rs
@@ -1,5 +1,5 @@
 use {
-    super::{full, read_all, Body, LimitedStream, ReadAllowance},
+    super::{full, observed_stream::ObservedStream, read_all, Body, ReadAllowance},
     bytes::Bytes,
     hyper::{
         body::Incoming,
@@ -64,7 +64,7 @@
     /// Begins an HTTP/1 exchange on a connection. What the server may send is limited.
     pub(super) async fn open(stream: TcpStream) -> hyper::Result<Self> {
         let allowance = ReadAllowance::for_head();
-        let stream = TokioIo::new(LimitedStream::new(stream, allowance.clone()));
+        let stream = TokioIo::new(ObservedStream::new(stream, allowance.clone()));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, driver) = builder.handshake(stream).await?;
--- a/node/src/http/connections.rs
+++ b/node/src/http/connections.rs
@@ -1,4 +1,5 @@
 use {
+    super::open_connection::OpenConnection,
     crate::app::Clock,
     lentil_core::{
         clock::Time,
@@ -9,7 +10,7 @@
     std::{
         collections::HashMap,
         sync::{
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
             Arc, Mutex, MutexGuard, PoisonError,
         },
         time::Duration,
@@ -172,14 +173,21 @@
         let head = self.buffer_size();
         let now = self.update_time();
         let id = self.state().table.open(head, now);
-        Arc::new(OpenConnection {
-            id,
-            connections: self.clone(),
-            reads_head: AtomicBool::new(false),
-            works: AtomicBool::new(false),
-            receives: AtomicBool::new(false),
-            blocked: AtomicBool::new(false),
-        })
+        Arc::new(OpenConnection::new(id, self.clone()))
+    }
+
+    /// Records the state of a connection; returns whether all are within their share.
+    pub(super) fn enter(&self, id: ConnectionId, new: ConnectionState) -> bool {
+        let mut state = self.state();
+        state.table.enter(id, new, self.recent_time());
+        self.relieve(&mut state)
+    }
+
+    /// Removes a connection that has ended.
+    pub(super) fn remove(&self, id: ConnectionId) {
+        let mut state = self.state();
+        state.table.close(id);
+        state.tasks.remove(&id);
     }
 
     /// Records the task of a new connection, and closes other connections if there are too many.
@@ -238,68 +246,3 @@
         }
     }
 }
-
-/// An open connection, whose state the table follows.
-pub(super) struct OpenConnection {
-    pub(super) id: ConnectionId,
-    connections: Arc<Connections>,
-    reads_head: AtomicBool,
-    works: AtomicBool,
-    receives: AtomicBool,
-    blocked: AtomicBool,
-}
-
-impl OpenConnection {
-    /// Records that bytes have arrived.
-    pub(super) fn record_read(&self) {
-        let flag =
-            if self.works.load(Ordering::Relaxed) { &self.receives } else { &self.reads_head };
-        if !flag.swap(true, Ordering::Relaxed) {
-            self.update();
-        }
-    }
-
-    /// Records whether bytes could be written.
-    pub(super) fn record_write(&self, blocked: bool) {
-        if self.blocked.swap(blocked, Ordering::Relaxed) != blocked {
-            self.update();
-        }
-    }
-
-    /// Records that a request begins; returns whether there is room for it.
-    pub(super) fn begin_work(&self) -> bool {
-        self.works.store(true, Ordering::Relaxed);
-        self.reads_head.store(false, Ordering::Relaxed);
-        self.receives.store(false, Ordering::Relaxed);
-        self.update()
-    }
-
-    /// Records that a response was handed over to the connection.
-    pub(super) fn end_work(&self) {
-        self.works.store(false, Ordering::Relaxed);
-        self.update();
-    }
-
-    fn update(&self) -> bool {
-        let set = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
-        let new = match (set(&self.works), set(&self.receives), set(&self.reads_head)) {
-            _ if set(&self.blocked) => ConnectionState::Blocked,
-            (true, false, _) => ConnectionState::Work,
-            (true, true, _) => ConnectionState::Receive,
-            (false, _, true) => ConnectionState::Head,
-            (false, _, false) => ConnectionState::Idle,
-        };
-        let connections = &self.connections;
-        let mut state = connections.state();
-        state.table.enter(self.id, new, connections.recent_time());
-        connections.relieve(&mut state)
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        let mut state = self.connections.state();
-        state.table.close(self.id);
-        state.tasks.remove(&self.id);
-    }
-}
--- a/node/src/http/mod.rs
+++ b/node/src/http/mod.rs
@@ -2,19 +2,20 @@
 
 mod body;
 mod body_budget;
-mod caller_stream;
 mod client;
 mod connections;
 mod event_splitter;
 mod event_stream;
 mod hop_by_hop;
-mod limited_stream;
 mod lingering;
+mod observed_stream;
+mod open_connection;
 mod pool;
+mod read_allowance;
 mod server;
 mod tracked_body;
 
 pub use {
     body::*, body_budget::*, client::*, connections::*, event_splitter::*, event_stream::*,
-    hop_by_hop::*, limited_stream::*, lingering::*, pool::*, server::*,
+    hop_by_hop::*, lingering::*, pool::*, read_allowance::*, server::*,
 };
--- a/node/src/http/caller_stream.rs
+++ b/node/src/http/observed_stream.rs
@@ -1,9 +1,7 @@
 use {
-    super::connections::OpenConnection,
     std::{
         io,
         pin::Pin,
-        sync::Arc,
         task::{Context, Poll},
     },
     tokio::{
@@ -12,46 +10,62 @@
     },
 };
 
-/// Connection of a caller that records when bytes arrive and when the caller does not read.
-pub(super) struct CallerStream {
+/// Follows what is read from and written to a connection.
+pub(super) trait StreamObserver {
+    /// Returns an error if nothing more may be read.
+    fn check_read(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    /// Records that bytes have arrived.
+    fn record_read(&self, bytes: usize);
+
+    /// Records an attempt to write, and whether the peer has to read first.
+    fn record_write(&self, _blocked: bool) {}
+}
+
+/// Connection with an observer.
+pub(super) struct ObservedStream<O> {
     stream: TcpStream,
-    connection: Arc<OpenConnection>,
+    observer: O,
 }
 
-impl CallerStream {
-    pub(super) fn new(stream: TcpStream, connection: Arc<OpenConnection>) -> Self {
-        Self { stream, connection }
+impl<O: StreamObserver> ObservedStream<O> {
+    pub(super) fn new(stream: TcpStream, observer: O) -> Self {
+        Self { stream, observer }
     }
 
-    fn record<T>(&self, result: Poll<T>) -> Poll<T> {
-        self.connection.record_write(result.is_pending());
+    fn record_write<T>(&self, result: Poll<T>) -> Poll<T> {
+        self.observer.record_write(result.is_pending());
         result
     }
 }
 
-impl AsyncRead for CallerStream {
+impl<O: StreamObserver + Unpin> AsyncRead for ObservedStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.observer.check_read()?;
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.connection.record_read();
+        let bytes = buf.filled().len() - before;
+        if bytes > 0 {
+            self.observer.record_read(bytes);
         }
         result
     }
 }
 
-impl AsyncWrite for CallerStream {
+impl<O: StreamObserver + Unpin> AsyncWrite for ObservedStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record(result)
+        self.record_write(result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -68,7 +82,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record(result)
+        self.record_write(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/node/src/http/server.rs
+++ b/node/src/http/server.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        caller_stream::CallerStream, connections::OpenConnection, tracked_body::TrackedBody, Body,
-        Connections, OverCapacity,
+        observed_stream::ObservedStream, open_connection::OpenConnection,
+        tracked_body::TrackedBody, Body, Connections, OverCapacity,
     },
     hyper::{body::Incoming, service::service_fn, Request, Response},
     hyper_util::rt::TokioIo,
@@ -84,7 +84,7 @@
         + 'static,
     S::Future: Future<Output = Result<Response<Body>, Infallible>> + Send,
 {
-    let io = TokioIo::new(CallerStream::new(stream, open.clone()));
+    let io = TokioIo::new(ObservedStream::new(stream, open.clone()));
     let tracked = service_fn(move |mut request: Request<Incoming>| {
         if !open.begin_work() {
             request.extensions_mut().insert(OverCapacity);
--- a/node/src/http/tracked_body.rs
+++ b/node/src/http/tracked_body.rs
@@ -1,5 +1,5 @@
 use {
-    super::{connections::OpenConnection, Body},
+    super::{open_connection::OpenConnection, Body},
     bytes::Bytes,
     hyper::body::{Body as HttpBody, Frame, SizeHint},
     std::{
--- a/node/src/intake/discard.rs
+++ b/node/src/intake/discard.rs
@@ -15,7 +15,9 @@
 
 /// Most bytes that are read and discarded of one body.
 const MAX_BYTES: usize = 64 << 20;
-/// Longest time for that.
+/// Longest rest after which the connection can be used again.
+const SHORT_BYTES: u64 = 64 << 10;
+/// Longest time for reading the rest of a body.
 const MAX_TIME: Duration = Duration::from_secs(5);
 /// Most bodies that are discarded at the same time.
 const MAX_BODIES: usize = 64;
@@ -43,15 +45,19 @@
     headers.contains_key(header::EXPECT)
 }
 
-/// Reads and discards the rest of the body of a request that got `fault`, within bounds. Closing the
-/// connection with unread bytes would reset it, and the caller would lose the answer.
-pub fn discard_rest(fault: &Fault, body: Incoming) {
-    // The caller of a body that stalled does not send.
+/// Reads and discards the rest of the body of a request that got `fault`, within bounds, unless
+/// nothing comes. Closing the connection with unread bytes would reset it, and the caller would lose
+/// the answer. Returns whether the connection is to be closed after the answer.
+pub fn discard_rest(fault: &Fault, awaits_leave: bool, body: Incoming) -> bool {
+    if body.is_end_stream() {
+        return false;
+    }
     let stalled = matches!(fault.kind, ErrorKind::BodyTimeout | ErrorKind::Stopping);
-    if stalled || body.is_end_stream() {
-        return;
+    if stalled || awaits_leave {
+        return true;
     }
-    let Some(slot) = Slot::take() else { return };
+    let Some(slot) = Slot::take() else { return true };
+    let short = body.size_hint().exact().is_some_and(|length| length <= SHORT_BYTES);
     tokio::spawn(async move {
         let _slot = slot;
         let mut left = MAX_BYTES;
@@ -67,4 +73,5 @@
         // At the end of the time the connection is closed all the same.
         let _ = timeout(MAX_TIME, read).await;
     });
+    !short
 }
--- a/node/src/intake/mod.rs
+++ b/node/src/intake/mod.rs
@@ -2,14 +2,17 @@
 //! to their answer, and connections to its addresses.
 
 mod addresses;
+mod buffer;
+mod collector;
 mod descriptors;
 mod discard;
 mod head_limits;
+mod intake_error;
 mod request_body;
 mod request_memory;
 mod watch;
 
 pub use {
-    addresses::*, descriptors::*, discard::*, head_limits::*, request_body::*, request_memory::*,
-    watch::*,
+    addresses::*, buffer::HeldMemory, descriptors::*, discard::*, head_limits::*, intake_error::*,
+    request_body::*, request_memory::*, watch::*,
 };
--- a/node/src/intake/request_memory.rs
+++ b/node/src/intake/request_memory.rs
@@ -1,20 +1,19 @@
 use {
-    super::RequestBody,
+    super::{
+        buffer::{Buffer, HeldMemory},
+        collector::{Arrival, Collector},
+        IntakeError, RequestBody,
+    },
     crate::app::Clock,
     bytes::Bytes,
     http_body_util::BodyExt,
     hyper::body::Body as HttpBody,
-    lentil_core::{
-        error::{ErrorKind, Fault},
-        intake::{ActiveTime, ArrivalId, Arrivals, BodyBudget, IntakeShares, SMALL_BODY},
-    },
+    lentil_core::intake::{ActiveTime, ArrivalId, Arrivals, BodyBudget, IntakeShares, SMALL_BODY},
     std::{
         collections::HashMap,
-        fmt,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    thiserror::Error,
     tokio::{
         sync::{oneshot, Notify},
         task::yield_now,
@@ -23,9 +22,7 @@
 };
 
 /// Size of the buffers of large bodies. They are equal and reused, so that memory is not fragmented.
-const SEGMENT: usize = SMALL_BODY;
-/// First buffer of a body without a declared length.
-const FIRST_BUFFER: usize = 1 << 10;
+pub(super) const SEGMENT: usize = SMALL_BODY;
 /// Most bodies that are given up for one buffer.
 const MAX_EVICTIONS: usize = 8;
 /// Time within which a body that is given up frees its memory.
@@ -33,55 +30,23 @@
 /// Frames after which the reader of a body lets other tasks run.
 const FRAMES_PER_TURN: usize = 64;
 
-/// Why a request's body is not read to its end.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum IntakeError {
-    /// The body is larger than the limit.
-    #[error("the body is larger than {0} bytes")]
-    TooLarge(usize),
-    /// There is no memory for it.
-    #[error("there is no memory for the body of the request")]
-    Full,
-    /// It has stalled.
-    #[error("the body was not received in time")]
-    Stalled,
-    /// It has stalled and the instance is stopping.
-    #[error("this instance is stopping")]
-    Stopping,
-    /// The connection failed, or the body is malformed.
-    #[error("body can't be read: {0}")]
-    Failed(String),
-}
-
-impl From<IntakeError> for Fault {
-    fn from(error: IntakeError) -> Self {
-        let kind = match error {
-            IntakeError::TooLarge(_) => ErrorKind::TooLarge,
-            IntakeError::Full => ErrorKind::NoCapacity,
-            IntakeError::Stalled => ErrorKind::BodyTimeout,
-            IntakeError::Stopping => ErrorKind::Stopping,
-            IntakeError::Failed(_) => ErrorKind::BadRequest,
-        };
-        Self::new(kind, error.to_string())
-    }
-}
-
 /// Memory for the bodies of all requests of an instance. Memory is taken as bytes arrive and is free
 /// again once the request is answered. Without room, the body that has stalled longest yields.
 pub struct RequestMemory {
     state: Mutex<State>,
-    freed: Notify,
-    clock: Clock,
+    /// Notified when memory is free again.
+    pub(super) freed: Notify,
+    pub(super) clock: Clock,
 }
 
-struct State {
-    budget: BodyBudget,
-    arrivals: Arrivals,
-    time: ActiveTime,
+pub(super) struct State {
+    pub budget: BodyBudget,
+    pub arrivals: Arrivals,
+    pub time: ActiveTime,
     /// Ends of the bodies that arrive and were not given up.
-    evictions: HashMap<ArrivalId, oneshot::Sender<IntakeError>>,
+    pub evictions: HashMap<ArrivalId, oneshot::Sender<IntakeError>>,
     /// Segments that no body uses.
-    spare: Vec<Vec<u8>>,
+    pub spare: Vec<Vec<u8>>,
     given_up: u64,
 }
 
@@ -100,48 +65,6 @@
     pub given_up: u64,
 }
 
-/// Buffer that counts against the memory.
-struct Buffer {
-    bytes: Vec<u8>,
-    taken: usize,
-    memory: Arc<RequestMemory>,
-}
-
-/// Memory that a request holds in place of its body; it is free again on drop.
-pub struct HeldMemory {
-    bytes: usize,
-    memory: Arc<RequestMemory>,
-}
-
-impl fmt::Debug for HeldMemory {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "HeldMemory({})", self.bytes)
-    }
-}
-
-impl Drop for HeldMemory {
-    fn drop(&mut self) {
-        self.memory.state().budget.give_back(self.bytes);
-        self.memory.freed.notify_waiters();
-    }
-}
-
-/// A body that arrives.
-struct Arrival {
-    id: ArrivalId,
-    memory: Arc<RequestMemory>,
-}
-
-/// Collects a body that arrives.
-struct Collector {
-    arrival: Arrival,
-    expected: Option<usize>,
-    body: RequestBody,
-    tail: Option<Buffer>,
-    /// Bytes of memory taken.
-    held: usize,
-}
-
 impl RequestMemory {
     /// Creates the memory of an instance.
     pub fn new(shares: &IntakeShares, clock: Clock) -> Arc<Self> {
@@ -156,7 +79,7 @@
         Arc::new(Self { state: Mutex::new(state), freed: Notify::new(), clock })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -194,27 +117,13 @@
             return Err(IntakeError::TooLarge(limit));
         }
         let expected = size.exact().map(|length| length as usize);
-        let (arrival, mut evicted) = self.begin(expected.unwrap_or(0))?;
-        let mut collector =
-            Collector { arrival, expected, body: RequestBody::default(), tail: None, held: 0 };
-        for frames in 1.. {
-            let frame = tokio::select! {
-                biased;
-                reason = &mut evicted => return Err(reason.unwrap_or(IntakeError::Stalled)),
-                frame = body.frame() => frame,
-            };
-            let Some(frame) = frame else { break };
-            let frame = frame.map_err(|e| IntakeError::Failed(e.into().to_string()))?;
-            let Ok(data) = frame.into_data() else { continue };
-            if collector.len() + data.len() > limit {
-                return Err(IntakeError::TooLarge(limit));
-            }
-            collector.write(&data).await?;
-            if frames % FRAMES_PER_TURN == 0 {
-                yield_now().await;
-            }
+        let (arrival, evicted) = self.begin(expected.unwrap_or(0))?;
+        let collector = Collector::new(arrival, expected);
+        tokio::select! {
+            biased;
+            reason = evicted => Err(reason.unwrap_or(IntakeError::Stalled)),
+            read = collect(body, collector, limit) => read,
         }
-        Ok(collector.finish())
     }
 
     /// Begins a body of at least `expected` bytes, if there may be room for it.
@@ -236,7 +145,7 @@
 
     /// Takes `more` bytes for body `id`, which holds `held`; other bodies may have to yield. Returns
     /// an empty buffer of that capacity.
-    async fn take(
+    pub(super) async fn take(
         self: &Arc<Self>,
         id: ArrivalId,
         held: usize,
@@ -287,6 +196,31 @@
     }
 }
 
+async fn collect<B>(
+    body: &mut B,
+    mut collector: Collector,
+    limit: usize,
+) -> Result<RequestBody, IntakeError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut frames = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| IntakeError::Failed(e.into().to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        if collector.len() + data.len() > limit {
+            return Err(IntakeError::TooLarge(limit));
+        }
+        collector.write(&data).await?;
+        frames += 1;
+        if frames % FRAMES_PER_TURN == 0 {
+            yield_now().await;
+        }
+    }
+    Ok(collector.finish())
+}
+
 impl State {
     fn evict(&mut self, id: ArrivalId, reason: IntakeError) {
         let Some(end) = self.evictions.remove(&id) else { return };
@@ -308,88 +242,3 @@
         self.spare.truncate(free / SEGMENT);
     }
 }
-
-impl AsRef<[u8]> for Buffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-impl Drop for Buffer {
-    fn drop(&mut self) {
-        let mut bytes = std::mem::take(&mut self.bytes);
-        {
-            let mut state = self.memory.state();
-            state.budget.give_back(self.taken);
-            if bytes.capacity() == SEGMENT {
-                bytes.clear();
-                state.spare.push(bytes);
-            }
-        }
-        self.memory.freed.notify_waiters();
-    }
-}
-
-impl Drop for Arrival {
-    fn drop(&mut self) {
-        let mut state = self.memory.state();
-        state.arrivals.end(self.id);
-        state.evictions.remove(&self.id);
-    }
-}
-
-impl Collector {
-    fn len(&self) -> usize {
-        self.body.len() + self.tail.as_ref().map_or(0, |t| t.bytes.len())
-    }
-
-    async fn write(&mut self, data: &[u8]) -> Result<(), IntakeError> {
-        let mut rest = data;
-        while !rest.is_empty() {
-            let room = self.tail.as_ref().map_or(0, |t| t.taken - t.bytes.len());
-            if room == 0 {
-                self.grow().await?;
-                continue;
-            }
-            let Some(tail) = &mut self.tail else { continue };
-            let (now, later) = rest.split_at(room.min(rest.len()));
-            tail.bytes.extend_from_slice(now);
-            rest = later;
-        }
-        let memory = &self.arrival.memory;
-        let mut state = memory.state();
-        let now = state.time.advance(memory.clock.now());
-        state.arrivals.record(self.arrival.id, data.len(), self.held, now);
-        Ok(())
-    }
-
-    /// Adds room behind the last byte: a larger first buffer, or another segment.
-    async fn grow(&mut self) -> Result<(), IntakeError> {
-        let full = self.tail.as_ref().map_or(0, |t| t.taken);
-        let capacity = match self.expected {
-            Some(length) if length <= SEGMENT => length.max(self.len() + 1),
-            Some(_) => SEGMENT,
-            None => (full * 2).clamp(FIRST_BUFFER, SEGMENT),
-        };
-        let (id, memory) = (self.arrival.id, &self.arrival.memory);
-        let mut buffer = memory.take(id, self.held, capacity).await?;
-        self.held += capacity;
-        match self.tail.take() {
-            Some(tail) if full < SEGMENT => {
-                buffer.bytes.extend_from_slice(&tail.bytes);
-                self.held -= full;
-            }
-            Some(tail) => self.body.push(Bytes::from_owner(tail)),
-            None => {}
-        }
-        self.tail = Some(buffer);
-        Ok(())
-    }
-
-    fn finish(mut self) -> RequestBody {
-        if let Some(tail) = self.tail.take() {
-            self.body.push(Bytes::from_owner(tail));
-        }
-        self.body
-    }
-}
