A configured head limit under 4 KiB no longer ends connections

Found by reading the change: with max_header_bytes under 4,096 the buffer of a connection was smaller than the HTTP codec takes, which panics, so that every connection to the callers' address ended.

Change: the buffer is at least 8 KiB. The template leaves out limits that the platform does not name, and smaller ones than those of its machines start an instance too (32 MB, 64 descriptors).

--- a/core/src/settings/instance.rs
+++ b/core/src/settings/instance.rs
@@ -109,9 +109,9 @@
 }
 
 /// Least memory of a process.
-const MIN_MEMORY: Megabytes = Megabytes(64.0);
+const MIN_MEMORY: Megabytes = Megabytes(32.0);
 /// Least number of file descriptors of a process.
-const MIN_DESCRIPTORS: u64 = 128;
+const MIN_DESCRIPTORS: u64 = 64;
 
 impl Default for LimitSettings {
     fn default() -> Self {
@@ -209,9 +209,9 @@
         require(relay_free, "mesh.relay", "must differ from mesh.listen");
         require(self.limits.body.0 > 0, "limits.body", "must be greater than 0");
         require(self.limits.open > 0, "limits.open", "must be greater than 0");
-        require(self.limits.memory >= MIN_MEMORY, "limits.memory", "must be at least 64 MB");
+        require(self.limits.memory >= MIN_MEMORY, "limits.memory", "must be at least 32 MB");
         let descriptors_valid = self.limits.descriptors.is_none_or(|d| d >= MIN_DESCRIPTORS);
-        require(descriptors_valid, "limits.descriptors", "must be at least 128");
+        require(descriptors_valid, "limits.descriptors", "must be at least 64");
         let retries_valid = (0.0..=0.1).contains(&self.limits.retries);
         require(retries_valid, "limits.retries", "must lie between 0 and 0.1");
         let margin_valid = self.control.margin.0 * 2 < self.control.lease.0;
--- a/node/src/http/connections.rs
+++ b/node/src/http/connections.rs
@@ -24,6 +24,8 @@
 const MAX_BLOCK: Duration = Duration::from_secs(30);
 /// Bytes of a head beyond those that its limit counts, such as the request line.
 const HEAD_SLACK: usize = 4 << 10;
+/// Least buffer of a connection that the HTTP codec takes.
+const MIN_BUFFER: usize = 8 << 10;
 
 /// Limits on the head of a request and on the time before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -165,7 +167,7 @@
 
     /// Returns the buffer size of a connection, and thus the largest head on it.
     pub(super) fn buffer_size(&self) -> usize {
-        self.source.head_limits().size + HEAD_SLACK
+        (self.source.head_limits().size + HEAD_SLACK).max(MIN_BUFFER)
     }
 
     /// Adds a connection.
