--- a/core/src/intake/arrivals.rs
+++ b/core/src/intake/arrivals.rs
@@ -3,8 +3,7 @@
     std::{collections::HashMap, fmt, time::Duration},
 };
 
-/// Bytes that have to arrive for a body to count as progressing. Fewer would let a client keep its
-/// body alive by single bytes.
+/// Bytes that have to arrive for a body to count as progressing: single bytes don't keep it alive.
 const STEP_BYTES: usize = 16 << 10;
 /// Stall after which a body yields to another one that needs its memory.
 const YIELDING_STALL: Duration = Duration::from_millis(500);
@@ -27,8 +26,9 @@
 struct Arrival {
     /// Bytes of memory that it holds.
     held: usize,
-    /// Bytes since the last step.
+    /// Bytes that have arrived since the last step.
     pending: usize,
+    /// When it last progressed by [`STEP_BYTES`].
     stepped: Time,
 }
 
--- a/core/src/intake/shares.rs
+++ b/core/src/intake/shares.rs
@@ -40,13 +40,12 @@
 const CONNECTION_SHARE: f64 = 0.30;
 /// Share for the connections of other instances that relay requests.
 const RELAY_CONNECTION_SHARE: f64 = 0.06;
-/// Descriptors that the platform keeps for files; few enough processes have less.
+/// Descriptors that are kept for files, or one in [`FILE_PART`] if that is less.
 const FILE_DESCRIPTORS: u64 = 200;
-/// Least part of the descriptors that is kept for files.
 const FILE_PART: u64 = 8;
-/// Part of the sockets for callers; each of their requests needs another one to a target.
+/// One in so many sockets is for callers; each of their requests needs another one to a target.
 const CALLER_PART: u64 = 2;
-/// Part of the sockets for other instances that relay requests.
+/// One in so many sockets is for other instances that relay requests.
 const RELAY_PART: u64 = 16;
 /// Most connections of probes and of scrapes.
 const PROBE_CONNECTIONS: usize = 32;
--- a/node/src/http/connections.rs
+++ b/node/src/http/connections.rs
@@ -57,7 +57,7 @@
     }
 }
 
-/// Marks a request beyond the limit on what connections may hold; it is to be refused.
+/// Extension of a request beyond the limit on what connections may hold; it is to be refused.
 #[derive(Debug, Clone, Copy)]
 pub struct OverCapacity;
 
--- a/node/src/intake/request_memory.rs
+++ b/node/src/intake/request_memory.rs
@@ -43,7 +43,7 @@
     pub budget: BodyBudget,
     pub arrivals: Arrivals,
     pub time: ActiveTime,
-    /// Ends of the bodies that arrive and were not given up.
+    /// Gives up the body with this id; bodies that were given up have none.
     pub evictions: HashMap<ArrivalId, oneshot::Sender<IntakeError>>,
     /// Segments that no body uses.
     pub spare: Vec<Vec<u8>>,
