--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,43 @@
+//! Plays a case of the review: `drill CASE FOLDER`, where TROUBLE=0 leaves out the disruption.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+
+mod http;
+mod instance;
+mod json;
+mod record;
+mod resumed;
+mod runner;
+mod store;
+
+use std::{path::PathBuf, process::exit};
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (args.next(), args.next().map(PathBuf::from)) else {
+        eprintln!("usage: drill CASE FOLDER");
+        exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let record = record::Record::create(&folder.join("record.txt"));
+    let scratch = std::env::temp_dir().join(format!("drill-{case}-{}", std::process::id()));
+    std::fs::create_dir_all(&scratch).expect("a temporary folder");
+    let broken = match case.as_str() {
+        "split" => resumed::split(&record, &scratch, trouble),
+        "moved" => resumed::moved(&record, &scratch, trouble),
+        _ => Err(format!("no case is called {case:?}")),
+    };
+    if std::env::var("KEEP").is_err() {
+        // What is left behind in the temporary folder does no harm.
+        let _ = std::fs::remove_dir_all(&scratch);
+    }
+    let code = match broken {
+        Ok(broken) => i32::from(broken),
+        Err(text) => {
+            record.line(&format!("the case couldn't run: {text}"));
+            eprintln!("{text}");
+            2
+        }
+    };
+    exit(code);
+}
