--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -70,6 +70,12 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Asks the process to stop, with SIGTERM.
+    pub fn terminate(&self) {
+        // Fails if the process has ended already.
+        let _ = Command::new("kill").arg("-TERM").arg(self.pid().to_string()).status();
+    }
+
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         // Fails if it has ended already.
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -113,6 +113,14 @@
         self.0 .1.notify_all();
     }
 
+    /// Removes a key, as the store does with the entry of a silent runner.
+    pub fn erase(&self, key: &str) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.remove(key);
+        self.0 .1.notify_all();
+    }
+
     fn answer(&self, request: &Message, stream: &mut TcpStream) -> io::Result<()> {
         let (status, body) = self.call(request);
         respond(stream, status, &[("Content-Type", "application/json")], body.as_bytes())
