--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -19,6 +19,9 @@
 /// Interval between check-ins.
 const CHECK_IN: Duration = Duration::from_millis(1_200);
 
+/// Time for which a response may remain unread.
+const UNREAD: Duration = Duration::from_secs(5);
+
 /// What a runner sends as the answer to a request.
 #[derive(Clone)]
 pub struct Answers {
@@ -162,6 +165,8 @@
             self.id
         );
         stream.write_all(head.as_bytes())?;
+        // A response that remains unread for some seconds is cut off.
+        stream.set_write_timeout(Some(UNREAD))?;
         let filler = "x".repeat(self.answers.filler);
         for event in after + 1..=self.answers.events {
             thread::sleep(self.answers.gap);
